--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -9,7 +9,8 @@
 
 	"pollengauge.dev/membership"
 	"pollengauge.dev/node"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
+	platformstore "pollengauge.dev/platform/store"
 )
 
 // The design's deployment: services are spread evenly over the zones.
@@ -36,7 +37,7 @@
 	fabric *fabric
 	// store is this process's platform, also when others are joined.
 	store  *store
-	client *platform.Client
+	client *objects.Client
 	// join is the fleet of another process, empty if there is none.
 	join Join
 	// started counts the nodes ever started, which places the next one.
@@ -60,7 +61,7 @@
 		endpoint = cfg.Join.Platform
 	}
 	// The client is an operator's.
-	client, err := platform.NewClient(platform.Options{Endpoint: endpoint})
+	client, err := platformstore.New(objects.Options{Endpoint: endpoint})
 	if err != nil {
 		store.close()
 		return nil, &FleetError{Step: "client", Cause: err}
--- a/bench/control/meter.go
+++ b/bench/control/meter.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 )
 
 // Bytes on the wire besides those of the connections: Ethernet, IP and TCP
@@ -63,7 +63,7 @@
 	cpu      time.Duration
 	gossip   totals
 	nodes    map[*member]totals
-	calls    map[platform.Op]uint64
+	calls    map[objects.Op]uint64
 	refused  uint64
 	platform uint64
 }
@@ -115,8 +115,8 @@
 	Platform float64 `json:"platform_bytes_per_s"`
 	// Calls are the platform's calls of the whole fleet in the whole phase,
 	// refused ones included; Refused those over its rate.
-	Calls   map[platform.Op]uint64 `json:"platform_calls"`
-	Refused uint64                 `json:"platform_refused"`
+	Calls   map[objects.Op]uint64 `json:"platform_calls"`
+	Refused uint64                `json:"platform_refused"`
 }
 
 // usageOf divides what lies between readings by the members.
@@ -153,7 +153,7 @@
 		Messages: each(spent.sent + spent.received),
 		Dials:    each(spent.dials),
 		Writes:   each(spent.writes),
-		Calls:    make(map[platform.Op]uint64),
+		Calls:    make(map[objects.Op]uint64),
 		Refused:  b.refused - a.refused,
 	}
 	u.PeakCPU, u.PeakGossip = u.CPU, u.Gossip
--- a/bench/control/phases.go
+++ b/bench/control/phases.go
@@ -8,7 +8,7 @@
 
 	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/standin"
 )
 
@@ -192,7 +192,7 @@
 }
 
 // callsOf sums the platform's reads and writes.
-func callsOf(calls map[platform.Op]uint64) (reads, writes uint64) {
+func callsOf(calls map[objects.Op]uint64) (reads, writes uint64) {
 	for op, count := range calls {
 		if op.Writes() {
 			writes += count
--- a/bench/goodput/cluster.go
+++ b/bench/goodput/cluster.go
@@ -11,7 +11,7 @@
 	"pollengauge.dev/demo/upstream"
 	"pollengauge.dev/node"
 	"pollengauge.dev/node/testing/memnet"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/standin"
 )
 
@@ -46,7 +46,7 @@
 	deployment *demo.Deployment
 	system     System
 	network    *memnet.Network
-	store      platform.Store
+	store      objects.Store
 	registry   *baseline.Registry
 	ledger     *upstream.Ledger
 	vms        []*vm
--- a/cmd/pollengauge/internal/cli/change.go
+++ b/cmd/pollengauge/internal/cli/change.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"pollengauge.dev/config"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 )
 
 const (
@@ -59,7 +59,7 @@
 type change struct {
 	flags     *changeFlags
 	cmd       *cobra.Command
-	client    *platform.Client
+	client    *objects.Client
 	addresses []string
 	// expected is the stored version that the change may replace.
 	expected uint64
--- a/cmd/pollengauge/internal/cli/exit.go
+++ b/cmd/pollengauge/internal/cli/exit.go
@@ -7,7 +7,7 @@
 	"pollengauge.dev/config"
 	"pollengauge.dev/demo"
 	"pollengauge.dev/node"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/standin"
 )
 
@@ -51,11 +51,11 @@
 	switch {
 	case as[*config.RaceError](err):
 		return ExitRace
-	case as[*config.NoVersionError](err), as[*platform.NotFoundError](err):
+	case as[*config.NoVersionError](err), as[*objects.NotFoundError](err):
 		return ExitNotFound
-	case as[*platform.AmbiguousError](err):
+	case as[*objects.AmbiguousError](err):
 		return ExitAmbiguous
-	case as[*platform.UnavailableError](err), as[*platform.RateError](err):
+	case as[*objects.UnavailableError](err), as[*objects.RateError](err):
 		return ExitUnavailable
 	case isFailure(err):
 		return ExitFailed
@@ -68,8 +68,8 @@
 // isFailure tells the library errors that no other use of the command would
 // have avoided.
 func isFailure(err error) bool {
-	return as[*config.ApplyError](err) || as[*config.EncodingError](err) || as[*platform.ProtocolError](err) ||
-		as[*platform.StatusError](err) || as[*node.ListenError](err) || as[*node.DrainError](err) ||
+	return as[*config.ApplyError](err) || as[*config.EncodingError](err) || as[*objects.ProtocolError](err) ||
+		as[*objects.StatusError](err) || as[*node.ListenError](err) || as[*node.DrainError](err) ||
 		as[*standin.ListenError](err) || as[*upstream.ListenError](err) ||
 		as[*demo.StartError](err) || as[*demo.ReadyError](err) || as[*demo.WriteError](err)
 }
--- a/cmd/pollengauge/internal/cli/operator.go
+++ b/cmd/pollengauge/internal/cli/operator.go
@@ -9,7 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
+	"pollengauge.dev/platform/store"
 )
 
 // Environment variables of the operator's commands. A flag goes before its
@@ -88,11 +89,11 @@
 
 func (f *platformFlags) bind(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&f.url, "platform", "", "URL of the platform's object API (default $"+envPlatform+")")
-	cmd.Flags().DurationVar(&f.timeout, "platform-timeout", platform.DefaultTimeout, "bound on each call to the platform")
+	cmd.Flags().DurationVar(&f.timeout, "platform-timeout", objects.DefaultTimeout, "bound on each call to the platform")
 }
 
 // client returns a client of the platform. It makes no call.
-func (f *platformFlags) client() (*platform.Client, error) {
+func (f *platformFlags) client() (*objects.Client, error) {
 	url := f.url
 	if url == "" {
 		url = os.Getenv(envPlatform)
@@ -103,7 +104,7 @@
 	if f.timeout <= 0 || f.timeout > maxTimeout {
 		return nil, &ArgumentError{Name: "--platform-timeout", Value: f.timeout.String(), Want: "above 0, at most " + maxTimeout.String()}
 	}
-	client, err := platform.NewClient(platform.Options{Endpoint: url, Timeout: f.timeout})
+	client, err := store.New(objects.Options{Endpoint: url, Timeout: f.timeout})
 	if err != nil {
 		return nil, &ArgumentError{Name: "--platform", Value: url, Want: "http://host:port or https://host:port"}
 	}
--- a/config/apply.go
+++ b/config/apply.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 )
 
 const (
@@ -18,7 +18,7 @@
 )
 
 // applyBackoff spaces the attempts of one Apply, while an operator waits.
-var applyBackoff = platform.Backoff{Base: 100 * time.Millisecond, Max: 2 * time.Second}
+var applyBackoff = objects.Backoff{Base: 100 * time.Millisecond, Max: 2 * time.Second}
 
 // ApplyOptions describes one change.
 type ApplyOptions struct {
@@ -62,7 +62,7 @@
 //
 // Errors: *ValidationError (refused, nothing was sent), *RaceError,
 // *ChangeIDError, and *ApplyError with the fate of the change.
-func Apply(ctx context.Context, store platform.Store, draft Set, opts ApplyOptions) (Result, error) {
+func Apply(ctx context.Context, store objects.Store, draft Set, opts ApplyOptions) (Result, error) {
 	p, err := newPublication(store, draft, opts)
 	if err != nil {
 		return Result{}, err
@@ -83,7 +83,7 @@
 // Rollback makes the content of an earlier version the next version. Versions
 // only go up, so nodes take it like any other change. It returns what Apply
 // returns, or a *NoVersionError.
-func Rollback(ctx context.Context, store platform.Store, toVersion uint64, opts ApplyOptions) (Result, error) {
+func Rollback(ctx context.Context, store objects.Store, toVersion uint64, opts ApplyOptions) (Result, error) {
 	document, err := Read(ctx, store)
 	if err != nil {
 		return Result{}, &ApplyError{ChangeID: opts.ChangeID, Fate: FateNotApplied, Cause: err}
@@ -104,13 +104,13 @@
 
 // publication is one change on its way to the platform.
 type publication struct {
-	store   platform.Store
+	store   objects.Store
 	opts    ApplyOptions
 	mine    Set
 	content string
 }
 
-func newPublication(store platform.Store, draft Set, opts ApplyOptions) (*publication, error) {
+func newPublication(store objects.Store, draft Set, opts ApplyOptions) (*publication, error) {
 	if opts.Rand == nil {
 		opts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
@@ -171,7 +171,7 @@
 // report a change as failed that is in force. Every attempt is conditional on
 // the one object version that was read, so at most one of them can take
 // effect, and a conflict shows the Document that tells whether one did.
-func (p *publication) write(ctx context.Context, base Document, object platform.Object) (Result, error) {
+func (p *publication) write(ctx context.Context, base Document, object objects.Object) (Result, error) {
 	_, value, err := base.followedBy(p.mine, p.content)
 	if err != nil {
 		return Result{}, p.failed(FateNotApplied, err)
@@ -183,10 +183,10 @@
 		if err == nil {
 			return Result{ChangeID: p.mine.ChangeID, Version: p.mine.Version, Current: p.mine}, nil
 		}
-		if conflict := (*platform.ConflictError)(nil); errors.As(err, &conflict) {
+		if conflict := (*objects.ConflictError)(nil); errors.As(err, &conflict) {
 			return p.settle(conflict.Current, fate)
 		}
-		if ambiguous := (*platform.AmbiguousError)(nil); errors.As(err, &ambiguous) {
+		if ambiguous := (*objects.AmbiguousError)(nil); errors.As(err, &ambiguous) {
 			fate = FateUnknown
 		}
 		if attempt+1 >= p.opts.Attempts || !applyBackoff.Wait(ctx, attempt, p.opts.Rand) {
@@ -195,7 +195,7 @@
 	}
 }
 
-func (p *publication) put(ctx context.Context, object platform.Object) error {
+func (p *publication) put(ctx context.Context, object objects.Object) error {
 	var err error
 	if object.Version == 0 {
 		_, err = p.store.Create(ctx, object.Kind, object.Name, object.Value)
@@ -208,7 +208,7 @@
 // settle decides by the Document that won. The object has moved on from the
 // version that all attempts were conditional on, so an attempt that is not in
 // the Document can't take effect any more.
-func (p *publication) settle(current platform.Object, fate Fate) (Result, error) {
+func (p *publication) settle(current objects.Object, fate Fate) (Result, error) {
 	document, err := DecodeDocument(current.Value)
 	if err != nil {
 		return Result{}, p.failed(fate, err)
--- a/config/document.go
+++ b/config/document.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 )
 
 // The one object in which the platform holds the configuration.
@@ -62,19 +62,19 @@
 // Read returns the stored Document. Before the first Apply that is the
 // embedded default without changes. Errors are those of the platform, or an
 // *EncodingError or *ValidationError if the stored value can't be used.
-func Read(ctx context.Context, store platform.Store) (Document, error) {
+func Read(ctx context.Context, store objects.Store) (Document, error) {
 	document, _, err := load(ctx, store)
 	return document, err
 }
 
 // load also returns the object, of version 0 if there is none.
-func load(ctx context.Context, store platform.Store) (Document, platform.Object, error) {
+func load(ctx context.Context, store objects.Store) (Document, objects.Object, error) {
 	object, err := store.Get(ctx, ObjectKind, ObjectName)
-	if missing := (*platform.NotFoundError)(nil); errors.As(err, &missing) {
-		return Document{Set: Default()}, platform.Object{Kind: ObjectKind, Name: ObjectName}, nil
+	if missing := (*objects.NotFoundError)(nil); errors.As(err, &missing) {
+		return Document{Set: Default()}, objects.Object{Kind: ObjectKind, Name: ObjectName}, nil
 	}
 	if err != nil {
-		return Document{}, platform.Object{}, err
+		return Document{}, objects.Object{}, err
 	}
 	document, err := DecodeDocument(object.Value)
 	return document, object, err
@@ -173,7 +173,7 @@
 		if err != nil {
 			return Document{}, nil, err
 		}
-		if len(value) <= platform.MaxValue || len(d.Earlier) == 0 {
+		if len(value) <= objects.MaxValue || len(d.Earlier) == 0 {
 			return d, value, nil
 		}
 		d.Earlier = d.Earlier[1:]
--- a/config/follow.go
+++ b/config/follow.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 )
 
 // FollowOptions sets up Follow. The zero value is usable.
@@ -16,7 +16,7 @@
 	// Backoff spaces retries. A lower Max sees the first change after an
 	// outage sooner; a higher one spares the platform. Zero Max means
 	// DefaultFollowBackoff, which suits a handful of followers.
-	Backoff platform.Backoff
+	Backoff objects.Backoff
 	// Rand is the source of jitter; nil means a randomly seeded one.
 	Rand *rand.Rand
 }
@@ -28,14 +28,14 @@
 // Follow watches the platform and offers every stored Set to s, until ctx is
 // done. Each follower costs the platform one waiting watch, so a few nodes
 // follow and the others hear from them by gossip.
-func Follow(ctx context.Context, store platform.Store, s *Store, opts FollowOptions) {
+func Follow(ctx context.Context, store objects.Store, s *Store, opts FollowOptions) {
 	if opts.Backoff.Max <= 0 {
 		opts.Backoff.Max = DefaultFollowBackoff
 	}
-	watcher := &platform.Watcher{
+	watcher := &objects.Watcher{
 		Store:   store,
 		Kind:    ObjectKind,
-		Handle:  func(event platform.Event) { s.offerEvent(event, opts.OnError) },
+		Handle:  func(event objects.Event) { s.offerEvent(event, opts.OnError) },
 		OnError: opts.OnError,
 		Backoff: opts.Backoff,
 		Rand:    opts.Rand,
@@ -44,8 +44,8 @@
 }
 
 // offerEvent ignores a deletion: a Set that was accepted stays in force.
-func (s *Store) offerEvent(event platform.Event, onError func(error)) {
-	if event.Type != platform.EventPut || event.Object.Name != ObjectName {
+func (s *Store) offerEvent(event objects.Event, onError func(error)) {
+	if event.Type != objects.EventPut || event.Object.Name != ObjectName {
 		return
 	}
 	if _, err := s.OfferObject(event.Object); err != nil && onError != nil {
@@ -54,7 +54,7 @@
 }
 
 // OfferObject is Offer for the platform's object.
-func (s *Store) OfferObject(object platform.Object) (bool, error) {
+func (s *Store) OfferObject(object objects.Object) (bool, error) {
 	document, err := DecodeDocument(object.Value)
 	if err != nil {
 		return false, err
@@ -89,7 +89,7 @@
 //
 // One peer of several may be stale or hostile: a lower version than another's
 // is passed over, and an invalid Set is a failure.
-func Bootstrap(ctx context.Context, s *Store, store platform.Store, peers []Peer) BootstrapResult {
+func Bootstrap(ctx context.Context, s *Store, store objects.Store, peers []Peer) BootstrapResult {
 	answers := make(chan answer, len(peers)+1)
 	go func() { answers <- askPlatform(ctx, s, store) }()
 	for _, peer := range peers {
@@ -123,9 +123,9 @@
 	r.Stored = r.Stored || a.platform
 }
 
-func askPlatform(ctx context.Context, s *Store, store platform.Store) answer {
+func askPlatform(ctx context.Context, s *Store, store objects.Store) answer {
 	object, err := store.Get(ctx, ObjectKind, ObjectName)
-	if missing := (*platform.NotFoundError)(nil); errors.As(err, &missing) {
+	if missing := (*objects.NotFoundError)(nil); errors.As(err, &missing) {
 		return answer{platform: true}
 	}
 	if err == nil {
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 )
 
 // bootstrapKind is the kind of the few objects that name nodes to join.
@@ -27,7 +27,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTime)
 	defer cancel()
-	objects, _, err := n.store.List(ctx, bootstrapKind, "")
+	found, _, err := n.store.List(ctx, bootstrapKind, "")
 	if err != nil {
 		if len(addrs) > 0 {
 			return addrs, nil
@@ -35,20 +35,20 @@
 		n.log.Emit(observe.BootstrapFailed, observe.Err(err))
 		return nil, err
 	}
-	for _, o := range objects {
+	for _, o := range found {
 		addrs = append(addrs, string(o.Value))
 	}
-	n.offerBootstrap(ctx, objects)
+	n.offerBootstrap(ctx, found)
 	return addrs, nil
 }
 
 // offerBootstrap puts this node's address among the bootstrap objects: into a
 // free place, or over one whose node is known to be gone. Which node holds a
 // place is of no importance, so a lost race is left lost.
-func (n *Node) offerBootstrap(ctx context.Context, objects []platform.Object) {
+func (n *Node) offerBootstrap(ctx context.Context, found []objects.Object) {
 	own := n.Addr("gossip")
-	taken := make(map[string]platform.Object, len(objects))
-	for _, o := range objects {
+	taken := make(map[string]objects.Object, len(found))
+	for _, o := range found {
 		if string(o.Value) == own {
 			return
 		}
--- a/node/claims.go
+++ b/node/claims.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"pollengauge.dev/atmostonce"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 )
 
 // claimKind is the kind of the platform's objects that hold claims.
@@ -18,7 +18,7 @@
 
 // claimStore keeps claims on keys in the platform's object API.
 type claimStore struct {
-	store   platform.Store
+	store   objects.Store
 	service string
 	log     *observe.Logger
 	counts  observe.Counters
@@ -88,7 +88,7 @@
 
 // versionOf names one version of an object. The revision is part of it: an
 // object that was deleted and made again starts anew with its own versions.
-func versionOf(o platform.Object) atmostonce.Version {
+func versionOf(o objects.Object) atmostonce.Version {
 	return atmostonce.Version(strconv.FormatUint(o.Version, 10) + "@" + strconv.FormatUint(o.Revision, 10))
 }
 
@@ -113,7 +113,7 @@
 	o, err := s.create(ctx, name, value)
 	s.counts.With(platformResult(err)).Inc(1)
 	if err != nil {
-		var conflict *platform.ConflictError
+		var conflict *objects.ConflictError
 		if errors.As(err, &conflict) {
 			return "", &atmostonce.ClaimExistsError{Name: name}
 		}
@@ -127,11 +127,11 @@
 
 // create waits for the call budget, if that is soon: a caller that brings a
 // key would rather wait a moment than be refused.
-func (s *claimStore) create(ctx context.Context, name string, value []byte) (platform.Object, error) {
+func (s *claimStore) create(ctx context.Context, name string, value []byte) (objects.Object, error) {
 	giveUp := time.Now().Add(maxBudgetWait)
 	for {
 		o, err := s.store.Create(ctx, claimKind, name, value)
-		var overBudget *platform.RateError
+		var overBudget *objects.RateError
 		if !errors.As(err, &overBudget) || time.Now().Add(overBudget.RetryAfter).After(giveUp) {
 			return o, err
 		}
@@ -147,7 +147,7 @@
 func (s *claimStore) Get(ctx context.Context, name string) (atmostonce.Claim, atmostonce.Version, error) {
 	o, err := s.store.Get(ctx, claimKind, name)
 	if err != nil {
-		var absent *platform.NotFoundError
+		var absent *objects.NotFoundError
 		if errors.As(err, &absent) {
 			return atmostonce.Claim{}, "", &atmostonce.ClaimNotFoundError{Name: name}
 		}
@@ -166,7 +166,7 @@
 	if err != nil {
 		return "", &atmostonce.ClaimUnavailableError{Name: name, Err: err}
 	}
-	o, err := s.store.Update(ctx, platform.Object{Kind: claimKind, Name: name, Version: objectVersion(version), Value: value})
+	o, err := s.store.Update(ctx, objects.Object{Kind: claimKind, Name: name, Version: objectVersion(version), Value: value})
 	if err != nil {
 		return "", s.conditionalError(name, err)
 	}
@@ -206,8 +206,8 @@
 
 // conditionalError maps the failure of a write that names a version.
 func (s *claimStore) conditionalError(name string, err error) error {
-	var conflict *platform.ConflictError
-	var absent *platform.NotFoundError
+	var conflict *objects.ConflictError
+	var absent *objects.NotFoundError
 	if errors.As(err, &conflict) || errors.As(err, &absent) {
 		return &atmostonce.ClaimConflictError{Name: name}
 	}
@@ -215,7 +215,7 @@
 }
 
 func (s *claimStore) writeError(name string, err error) error {
-	var ambiguous *platform.AmbiguousError
+	var ambiguous *objects.AmbiguousError
 	if errors.As(err, &ambiguous) {
 		s.log.Emit(observe.ClaimAmbiguous, observe.Str("claim", name))
 		return &atmostonce.ClaimAmbiguousError{Name: name, Err: err}
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -5,7 +5,8 @@
 	"time"
 
 	"pollengauge.dev/atmostonce"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
+	"pollengauge.dev/platform/store"
 )
 
 const (
@@ -37,7 +38,7 @@
 	if n.settings.PlatformURL == "" {
 		return nil
 	}
-	client, err := platform.NewClient(platform.Options{
+	client, err := store.New(objects.Options{
 		Endpoint:     n.settings.PlatformURL,
 		ReadRate:     platformReads,
 		WriteRate:    platformWrites,
@@ -51,7 +52,7 @@
 	return nil
 }
 
-func (n *Node) observed(store platform.Store) platform.Store {
+func (n *Node) observed(store objects.Store) objects.Store {
 	return &observedStore{Store: store, metrics: n.metrics, log: n.log}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -17,8 +17,8 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 	"pollengauge.dev/retry"
 	"pollengauge.dev/routing"
 	"pollengauge.dev/secure"
@@ -41,7 +41,7 @@
 	exporter spanExporter
 
 	config   *config.Store
-	store    platform.Store
+	store    objects.Store
 	gossip   *membership.Gossip
 	router   *routing.Router
 	gate     *admission.Gate
--- a/node/openclaims.go
+++ b/node/openclaims.go
@@ -8,7 +8,7 @@
 
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 )
 
 const (
@@ -43,13 +43,13 @@
 	if n.store == nil {
 		return nil, &NoPlatformError{}
 	}
-	objects, err := n.listClaims(ctx, n.settings.Service+"."+part)
+	found, err := n.listClaims(ctx, n.settings.Service+"."+part)
 	if err != nil {
 		return nil, err
 	}
 	now := n.now()
 	var fates []FateView
-	for _, o := range objects {
+	for _, o := range found {
 		claim, err := decodeClaim(o.Value)
 		expires := time.Unix(claim.ExpiresUnix, 0)
 		if err != nil || claim.State == atmostonce.StateDone || !now.Before(expires) || n.homeKept(claim.Home) {
@@ -68,13 +68,13 @@
 
 // listClaims waits for the call budget, if that is soon: an operator rather
 // waits than is refused.
-func (n *Node) listClaims(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (n *Node) listClaims(ctx context.Context, prefix string) ([]objects.Object, error) {
 	giveUp := n.now().Add(claimsWait)
 	for {
-		objects, _, err := n.store.List(ctx, claimKind, prefix)
-		var overBudget *platform.RateError
+		found, _, err := n.store.List(ctx, claimKind, prefix)
+		var overBudget *objects.RateError
 		if !errors.As(err, &overBudget) || n.now().Add(overBudget.RetryAfter).After(giveUp) || !pause(ctx, overBudget.RetryAfter) {
-			return objects, err
+			return found, err
 		}
 	}
 }
--- a/node/platformview.go
+++ b/node/platformview.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 )
 
 // slowPlatform is the time from which a call to the platform counts as slow.
@@ -17,22 +17,22 @@
 // observedStore passes calls to the platform on, counts them and reports when
 // the platform goes down, comes back or becomes slow.
 type observedStore struct {
-	platform.Store
+	objects.Store
 	metrics *observe.Metrics
 	log     *observe.Logger
 	down    atomic.Bool
 }
 
 // note counts one call and reports changes of the platform's health.
-func (s *observedStore) note(op platform.Op, start time.Time, err error) {
+func (s *observedStore) note(op objects.Op, start time.Time, err error) {
 	took := time.Since(start)
 	s.metrics.PlatformCalls.With(string(op), platformResult(err)).Inc(1)
-	if op != platform.OpWatch {
+	if op != objects.OpWatch {
 		s.metrics.PlatformTime.With(string(op)).Observe(took)
 	}
-	var unavailable *platform.UnavailableError
-	var overBudget *platform.RateError
-	var ambiguous *platform.AmbiguousError
+	var unavailable *objects.UnavailableError
+	var overBudget *objects.RateError
+	var ambiguous *objects.AmbiguousError
 	switch {
 	case errors.As(err, &unavailable) && !errors.Is(err, context.Canceled):
 		if !s.down.Swap(true) {
@@ -51,7 +51,7 @@
 	if s.down.Swap(false) {
 		s.log.Emit(observe.PlatformUp)
 	}
-	if op != platform.OpWatch && took > slowPlatform {
+	if op != objects.OpWatch && took > slowPlatform {
 		s.log.Emit(observe.PlatformSlow, observe.Str("op", string(op)), observe.Dur("took", took))
 	}
 }
@@ -59,11 +59,11 @@
 // platformResult is the metric label of a call's end.
 func platformResult(err error) string {
 	var (
-		conflict    *platform.ConflictError
-		missing     *platform.NotFoundError
-		unavailable *platform.UnavailableError
-		ambiguous   *platform.AmbiguousError
-		overBudget  *platform.RateError
+		conflict    *objects.ConflictError
+		missing     *objects.NotFoundError
+		unavailable *objects.UnavailableError
+		ambiguous   *objects.AmbiguousError
+		overBudget  *objects.RateError
 	)
 	switch {
 	case err == nil:
@@ -83,50 +83,50 @@
 	}
 }
 
-// Get implements platform.Store.
-func (s *observedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objects.Store.
+func (s *observedStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	start := time.Now()
 	o, err := s.Store.Get(ctx, kind, name)
-	s.note(platform.OpGet, start, err)
+	s.note(objects.OpGet, start, err)
 	return o, err
 }
 
-// List implements platform.Store.
-func (s *observedStore) List(ctx context.Context, kind, prefix string) ([]platform.Object, uint64, error) {
+// List implements objects.Store.
+func (s *observedStore) List(ctx context.Context, kind, prefix string) ([]objects.Object, uint64, error) {
 	start := time.Now()
-	objects, revision, err := s.Store.List(ctx, kind, prefix)
-	s.note(platform.OpList, start, err)
-	return objects, revision, err
+	found, revision, err := s.Store.List(ctx, kind, prefix)
+	s.note(objects.OpList, start, err)
+	return found, revision, err
 }
 
-// Create implements platform.Store.
-func (s *observedStore) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
+// Create implements objects.Store.
+func (s *observedStore) Create(ctx context.Context, kind, name string, value []byte) (objects.Object, error) {
 	start := time.Now()
 	o, err := s.Store.Create(ctx, kind, name, value)
-	s.note(platform.OpCreate, start, err)
+	s.note(objects.OpCreate, start, err)
 	return o, err
 }
 
-// Update implements platform.Store.
-func (s *observedStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+// Update implements objects.Store.
+func (s *observedStore) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
 	start := time.Now()
 	written, err := s.Store.Update(ctx, o)
-	s.note(platform.OpUpdate, start, err)
+	s.note(objects.OpUpdate, start, err)
 	return written, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objects.Store.
 func (s *observedStore) Delete(ctx context.Context, kind, name string, version uint64) error {
 	start := time.Now()
 	err := s.Store.Delete(ctx, kind, name, version)
-	s.note(platform.OpDelete, start, err)
+	s.note(objects.OpDelete, start, err)
 	return err
 }
 
-// Watch implements platform.Store.
-func (s *observedStore) Watch(ctx context.Context, kind string, from uint64) ([]platform.Event, uint64, error) {
+// Watch implements objects.Store.
+func (s *observedStore) Watch(ctx context.Context, kind string, from uint64) ([]objects.Event, uint64, error) {
 	start := time.Now()
 	events, next, err := s.Store.Watch(ctx, kind, from)
-	s.note(platform.OpWatch, start, err)
+	s.note(objects.OpWatch, start, err)
 	return events, next, err
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 )
 
 // Settings are a node's process settings. They come from flags and
@@ -80,7 +80,7 @@
 	TLS TLSSettings
 
 	// Store replaces the HTTP client of the platform (embedding, tests).
-	Store platform.Store
+	Store objects.Store
 	// Network replaces TCP (tests). TLS goes on top of it.
 	Network Network
 	// Log takes the numbered events. Nil logs nothing.
--- a/node/sync.go
+++ b/node/sync.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"pollengauge.dev/config"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
-	"pollengauge.dev/platform"
 )
 
 // configKind is the kind of the platform's objects that hold configuration.
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTime)
 	defer cancel()
 	o, err := n.store.Get(ctx, configKind, config.ObjectName)
-	var empty *platform.NotFoundError
+	var empty *objects.NotFoundError
 	if errors.As(err, &empty) {
 		return // nothing stored: the default is what operators chose
 	}
@@ -134,18 +134,18 @@
 
 func (n *Node) startWatch(ctx context.Context) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
-	watcher := &platform.Watcher{
+	watcher := &objects.Watcher{
 		Store:   n.store,
 		Kind:    configKind,
-		Handle:  func(e platform.Event) { n.takeConfig(e.Object) },
-		Backoff: platform.Backoff{Max: config.DefaultFollowBackoff},
+		Handle:  func(e objects.Event) { n.takeConfig(e.Object) },
+		Backoff: objects.Backoff{Max: config.DefaultFollowBackoff},
 	}
 	n.done.Go(func() { watcher.Run(ctx) })
 	return cancel
 }
 
 // takeConfig takes the configuration's object, and no other of its kind.
-func (n *Node) takeConfig(o platform.Object) {
+func (n *Node) takeConfig(o objects.Object) {
 	if o.Name != config.ObjectName || len(o.Value) == 0 {
 		return
 	}
--- /dev/null
+++ b/objects/address.go
@@ -0,0 +1,103 @@
+package objects
+
+// Bounds that every store keeps to.
+const (
+	// MaxValue is the largest value of an object, in bytes. In base64, with
+	// the JSON around it, it stays within the megabyte that a store takes.
+	MaxValue = 750_000
+	// maxKind and maxName bound the two parts of an object's address, in bytes.
+	maxKind = 63
+	maxName = 253
+)
+
+// CheckAddress returns an *InvalidError unless kind and name can address an
+// object. A Store calls it before it spends a call.
+func CheckAddress(kind, name string) error {
+	if err := CheckKind(kind); err != nil {
+		return err
+	}
+	if !validName(name) {
+		return &InvalidError{Field: "name", Value: name, Want: "1 to 253 of letters, digits and -_.:~, a letter or digit first"}
+	}
+	return nil
+}
+
+// CheckKind returns an *InvalidError unless kind is well formed.
+func CheckKind(kind string) error {
+	if !validKind(kind) {
+		return &InvalidError{Field: "kind", Value: kind, Want: "1 to 63 of lower-case letters, digits and dashes, a letter first"}
+	}
+	return nil
+}
+
+// CheckPrefix returns an *InvalidError unless prefix can start a name.
+func CheckPrefix(prefix string) error {
+	if !validPrefix(prefix) {
+		return &InvalidError{Field: "prefix", Value: prefix, Want: "the start of a name, or nothing"}
+	}
+	return nil
+}
+
+// CheckVersion returns an *InvalidError for version 0, which no object has.
+func CheckVersion(version uint64) error {
+	if version == 0 {
+		return &InvalidError{Field: "version", Value: "0", Want: "the version that was read"}
+	}
+	return nil
+}
+
+// CheckValue returns a *TooLargeError for a value over MaxValue.
+func CheckValue(value []byte) error {
+	if len(value) > MaxValue {
+		return &TooLargeError{What: "value", Size: int64(len(value)), Limit: MaxValue}
+	}
+	return nil
+}
+
+// validKind reports whether s can be a kind: lower-case letters, digits and
+// dashes, starting with a letter.
+func validKind(s string) bool {
+	if s == "" || len(s) > maxKind || s[0] < 'a' || s[0] > 'z' {
+		return false
+	}
+	for i := range len(s) {
+		if !lower(s[i]) && !digit(s[i]) && s[i] != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// validName reports whether s can be a name: letters, digits and -_.:~,
+// starting with a letter or digit. So a name is never "." or "..", which a
+// server's path cleaning would take for another address.
+func validName(s string) bool {
+	return validPrefix(s) && s != ""
+}
+
+// validPrefix is validName, but allows the empty prefix.
+func validPrefix(s string) bool {
+	if len(s) > maxName {
+		return false
+	}
+	for i := range len(s) {
+		if !nameByte(s[i], i == 0) {
+			return false
+		}
+	}
+	return true
+}
+
+func nameByte(b byte, first bool) bool {
+	if lower(b) || digit(b) || (b >= 'A' && b <= 'Z') {
+		return true
+	}
+	if first {
+		return false
+	}
+	return b == '-' || b == '_' || b == '.' || b == ':' || b == '~'
+}
+
+func lower(b byte) bool { return b >= 'a' && b <= 'z' }
+
+func digit(b byte) bool { return b >= '0' && b <= '9' }
--- a/platform/budget.go
+++ b/objects/budget.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"errors"
--- a/platform/client.go
+++ b/objects/client.go
@@ -1,17 +1,12 @@
-package platform
+package objects
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
-
-	"pollengauge.dev/platform/wire"
 )
 
-// maxPages bounds one List, together with wire.MaxPage objects a page.
+// maxPages bounds one List. Stores give hundreds of objects a page.
 const maxPages = 256
 
 // Client is a Store that speaks the object API over HTTP. All methods may be
@@ -52,16 +47,21 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	q := request{op: OpGet, kind: kind, name: name}
 	if err := CheckAddress(kind, name); err != nil {
 		return Object{}, err
 	}
+	q := Query{Op: OpGet, Kind: kind, Name: name}
+	return c.one(ctx, q)
+}
+
+// one makes a call that is answered with one object.
+func (c *Client) one(ctx context.Context, q Query) (Object, error) {
 	return finish(c, q, func() (Object, error) {
-		a, err := c.exchange(ctx, q, httpCall{method: http.MethodGet, path: objectPath(kind, name), timeout: c.options.Timeout})
+		a, r, err := c.exchange(ctx, q, c.options.Timeout)
 		if err != nil {
 			return Object{}, err
 		}
-		return decodeObject(q, a)
+		return q.object(a, r)
 	})
 }
 
@@ -73,12 +73,11 @@
 	if err := CheckPrefix(prefix); err != nil {
 		return nil, 0, err
 	}
-	q := request{op: OpList, kind: kind, prefix: prefix}
+	q := Query{Op: OpList, Kind: kind, prefix: prefix}
 	var all []Object
 	var first uint64
-	token := ""
 	for page := range maxPages {
-		got, err := finish(c, q, func() (listPage, error) { return c.listPage(ctx, q, token) })
+		got, err := finish(c, q, func() (listPage, error) { return c.listPage(ctx, q) })
 		if err != nil {
 			return nil, 0, err
 		}
@@ -92,8 +91,7 @@
 		if got.next == "" {
 			return all, first, nil
 		}
-		token = got.next
-		q.after = all[len(all)-1].Name
+		q.After = got.next
 	}
 	return nil, 0, &TooLargeError{What: "list", Size: maxPages + 1, Limit: maxPages, Unit: "pages"}
 }
@@ -101,30 +99,29 @@
 type listPage struct {
 	objects  []Object
 	revision uint64
-	next     string
+	// next is the name after which the list goes on, "" at its end.
+	next string
 }
 
-func (c *Client) listPage(ctx context.Context, q request, token string) (listPage, error) {
-	query := url.Values{"limit": {strconv.Itoa(wire.MaxPage)}}
-	if q.prefix != "" {
-		query.Set("prefix", q.prefix)
-	}
-	if token != "" {
-		query.Set("continue", token)
+func (c *Client) listPage(ctx context.Context, q Query) (listPage, error) {
+	a, r, err := c.exchange(ctx, q, c.options.Timeout)
+	if err != nil {
+		return listPage{}, err
 	}
-	path := wire.ObjectsPath + url.PathEscape(q.kind) + "?" + query.Encode()
-	a, err := c.exchange(ctx, q, httpCall{method: http.MethodGet, path: path, timeout: c.options.Timeout})
+	kept, err := q.page(a, r)
 	if err != nil {
 		return listPage{}, err
 	}
-	objects, revision, next, err := decodeList(q, a)
-	return listPage{objects: objects, revision: revision, next: next}, err
+	page := listPage{objects: kept, revision: r.Revision}
+	if r.More {
+		page.next = r.Objects[len(r.Objects)-1].Name
+	}
+	return page, nil
 }
 
 // Create implements Store.
 func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (Object, error) {
-	q := request{op: OpCreate, kind: kind, name: name}
-	return c.put(ctx, q, value, "If-None-Match", "*")
+	return c.put(ctx, Query{Op: OpCreate, Kind: kind, Name: name, Value: value})
 }
 
 // Update implements Store.
@@ -132,33 +129,39 @@
 	if err := CheckVersion(o.Version); err != nil {
 		return Object{}, err
 	}
-	q := request{op: OpUpdate, kind: o.Kind, name: o.Name, expected: o.Version}
-	return c.put(ctx, q, o.Value, "If-Match", decimal(o.Version))
+	return c.put(ctx, Query{Op: OpUpdate, Kind: o.Kind, Name: o.Name, Expected: o.Version, Value: o.Value})
 }
 
-func (c *Client) put(ctx context.Context, q request, value []byte, header, condition string) (Object, error) {
-	if err := CheckAddress(q.kind, q.name); err != nil {
+func (c *Client) put(ctx context.Context, q Query) (Object, error) {
+	if err := CheckAddress(q.Kind, q.Name); err != nil {
 		return Object{}, err
 	}
-	if err := CheckValue(value); err != nil {
+	if err := CheckValue(q.Value); err != nil {
 		return Object{}, err
 	}
-	body, err := json.Marshal(wire.Write{Value: value})
+	o, err := c.one(ctx, q)
+	if conflict, ok := err.(*ConflictError); ok && conflict.Current.Version == 0 {
+		return Object{}, c.completed(ctx, conflict)
+	}
+	if err == nil {
+		o.Value = q.Value
+	}
+	return o, err
+}
+
+// completed adds the stored object to a conflict whose answer did not have it.
+// Callers decide by it who won. If it can't be read, that error is told: the
+// write itself changed nothing.
+func (c *Client) completed(ctx context.Context, conflict *ConflictError) error {
+	current, err := c.Get(ctx, conflict.Kind, conflict.Name)
+	if _, gone := err.(*NotFoundError); gone {
+		return conflict
+	}
 	if err != nil {
-		return Object{}, &InvalidError{Field: "value", Value: err.Error(), Want: "bytes"}
+		return err
 	}
-	return finish(c, q, func() (Object, error) {
-		x := httpCall{method: http.MethodPut, path: objectPath(q.kind, q.name), header: header, condition: condition, body: body, timeout: c.options.Timeout}
-		a, err := c.exchange(ctx, q, x)
-		if err != nil {
-			return Object{}, err
-		}
-		o, err := decodeObject(q, a)
-		if err == nil {
-			o.Value = value
-		}
-		return o, err
-	})
+	conflict.Current = current
+	return conflict
 }
 
 // Delete implements Store.
@@ -169,14 +172,10 @@
 	if err := CheckVersion(version); err != nil {
 		return err
 	}
-	q := request{op: OpDelete, kind: kind, name: name, expected: version}
-	_, err := finish(c, q, func() (struct{}, error) {
-		x := httpCall{method: http.MethodDelete, path: objectPath(kind, name), header: "If-Match", condition: decimal(version), timeout: c.options.Timeout}
-		a, err := c.exchange(ctx, q, x)
-		if err != nil {
-			return struct{}{}, err
-		}
-		return struct{}{}, decodeDeleted(q, a)
+	q := Query{Op: OpDelete, Kind: kind, Name: name, Expected: version}
+	_, err := finish(c, q, func() (Reply, error) {
+		_, r, err := c.exchange(ctx, q, c.options.Timeout)
+		return r, err
 	})
 	return err
 }
@@ -186,18 +185,15 @@
 	if err := CheckKind(kind); err != nil {
 		return nil, 0, err
 	}
-	q := request{op: OpWatch, kind: kind, from: from}
-	query := url.Values{"from": {decimal(from)}, "wait": {c.options.WatchWait.String()}}
-	path := wire.WatchPath + url.PathEscape(kind) + "?" + query.Encode()
+	q := Query{Op: OpWatch, Kind: kind, From: from, Wait: c.options.WatchWait}
 	next := from
 	events, err := finish(c, q, func() ([]Event, error) {
-		a, err := c.exchange(ctx, q, httpCall{method: http.MethodGet, path: path, timeout: c.options.WatchWait + c.options.Timeout})
+		a, r, err := c.exchange(ctx, q, c.options.WatchWait+c.options.Timeout)
 		if err != nil {
 			return nil, err
 		}
-		events, after, err := decodeEvents(q, a)
-		next = after
-		return events, err
+		next = r.Revision
+		return q.events(a, r)
 	})
 	if err != nil {
 		return nil, from, err
@@ -207,25 +203,21 @@
 }
 
 // finish runs one call, marks an unproved write as ambiguous and counts the result.
-func finish[T any](c *Client, q request, run func() (T, error)) (T, error) {
+func finish[T any](c *Client, q Query, run func() (T, error)) (T, error) {
 	result, err := run()
 	if err == nil {
 		return result, nil
 	}
-	if _, malformed := err.(*ProtocolError); malformed && q.op.Writes() {
+	if _, malformed := err.(*ProtocolError); malformed && q.Op.Writes() {
 		err = q.ambiguous(err)
 	}
 	c.counters.failed(err)
 	if tooMany(err) {
-		c.budget(q.op).refused(time.Now())
+		c.budget(q.Op).refused(time.Now())
 	}
 	return result, err
 }
 
-func (q request) ambiguous(cause error) error {
-	return &AmbiguousError{Op: q.op, Kind: q.kind, Name: q.name, Expected: q.expected, Cause: cause}
-}
-
-func objectPath(kind, name string) string {
-	return wire.ObjectsPath + url.PathEscape(kind) + "/" + url.PathEscape(name)
+func (q Query) ambiguous(cause error) error {
+	return &AmbiguousError{Op: q.Op, Kind: q.Kind, Name: q.Name, Expected: q.Expected, Cause: cause}
 }
--- a/platform/doc.go
+++ b/objects/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the client for the platform's object API: versioned
+// Package objects is the client for the platform's object API: versioned
 // objects, conditional writes and watches.
 //
 // NewClient returns a Store over HTTP. Code that keeps state in the platform
@@ -21,4 +21,4 @@
 //
 // All methods of Client may be called concurrently. Backoff is a plain value.
 // A Watcher belongs to the goroutine that runs it.
-package platform
+package objects
--- a/platform/exchange.go
+++ b/objects/exchange.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"bytes"
@@ -20,16 +20,6 @@
 	maxHeader    = 16 << 10
 )
 
-// httpCall is what to send for one request.
-type httpCall struct {
-	method    string
-	path      string
-	header    string // name of the precondition header, or empty
-	condition string
-	body      []byte
-	timeout   time.Duration
-}
-
 // newHTTPClient builds the only way out. Redirects are not followed: a 307
 // would make net/http send a write a second time.
 func newHTTPClient(options Options) *http.Client {
@@ -50,79 +40,89 @@
 	}
 }
 
-// exchange sends one call and reads the whole answer. A write that got a
-// connection and no whole answer is an *AmbiguousError; one that got no
+// exchange sends one call, reads the whole answer and decodes it. A write that
+// got a connection and no whole answer is an *AmbiguousError; one that got no
 // connection can't have taken effect and is an *UnavailableError.
-func (c *Client) exchange(ctx context.Context, q request, x httpCall) (answer, error) {
-	if err := c.spend(q.op); err != nil {
-		return answer{}, err
+func (c *Client) exchange(ctx context.Context, q Query, timeout time.Duration) (Answer, Reply, error) {
+	m, err := c.options.Wire.Encode(q)
+	if err != nil {
+		return Answer{}, Reply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+	if err := c.spend(q.Op); err != nil {
+		return Answer{}, Reply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	a, err := c.send(ctx, q, m)
+	if err != nil {
+		return Answer{}, Reply{}, err
+	}
+	r, err := c.options.Wire.Decode(q, a)
+	return a, r, err
+}
+
+func (c *Client) send(ctx context.Context, q Query, m Message) (Answer, error) {
 	attempts := 0
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		attempts++
-		c.counters.sent(q.op)
+		c.counters.sent(q.Op)
 		// net/http repeats a GET when a reused connection breaks. The
 		// platform counts both, so the budget is charged for both.
 		if attempts > 1 {
-			c.budget(q.op).charge()
+			c.budget(q.Op).charge()
 		}
 	}}
-	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), x)
+	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), m)
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	a, err := c.roundTrip(req)
 	if err == nil {
 		return a, nil
 	}
-	if q.op.Writes() && attempts > 0 {
-		return answer{}, q.ambiguous(err)
+	if q.Op.Writes() && attempts > 0 {
+		return Answer{}, q.ambiguous(err)
 	}
 	if tooLarge, ok := err.(*TooLargeError); ok {
-		return answer{}, tooLarge
+		return Answer{}, tooLarge
 	}
-	return answer{}, &UnavailableError{Op: q.op, Cause: err}
+	return Answer{}, &UnavailableError{Op: q.Op, Cause: err}
 }
 
 // newRequest gives a write a body that net/http can't rewind. With GetBody
 // set, the transport may send the request again on its own when a reused
 // connection breaks, and a write that took effect would be tried twice.
-func (c *Client) newRequest(ctx context.Context, x httpCall) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, m Message) (*http.Request, error) {
 	var body io.Reader
-	if x.body != nil {
-		body = struct{ io.Reader }{bytes.NewReader(x.body)}
+	if m.Body != nil {
+		body = struct{ io.Reader }{bytes.NewReader(m.Body)}
 	}
-	req, err := http.NewRequestWithContext(ctx, x.method, c.base+x.path, body)
+	req, err := http.NewRequestWithContext(ctx, m.Method, c.base+m.Path, body)
 	if err != nil {
-		return nil, &InvalidError{Field: "request", Value: x.path, Want: "a valid URL"}
+		return nil, &InvalidError{Field: "request", Value: m.Path, Want: "a valid URL"}
 	}
-	req.ContentLength = int64(len(x.body))
+	req.ContentLength = int64(len(m.Body))
 	req.GetBody = nil
-	if x.header != "" {
-		req.Header.Set(x.header, x.condition)
-	}
-	if x.body != nil {
+	if m.Body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	return req, nil
 }
 
-func (c *Client) roundTrip(req *http.Request) (answer, error) {
+func (c *Client) roundTrip(req *http.Request) (Answer, error) {
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswer+1))
 	if err != nil {
-		return answer{}, err
+		return Answer{}, err
 	}
 	if int64(len(body)) > c.options.MaxAnswer {
-		return answer{}, &TooLargeError{What: "answer", Size: max(resp.ContentLength, 0), Limit: c.options.MaxAnswer}
+		return Answer{}, &TooLargeError{What: "answer", Size: max(resp.ContentLength, 0), Limit: c.options.MaxAnswer}
 	}
-	return answer{status: resp.StatusCode, retryAfter: resp.Header.Get("Retry-After"), body: body}, nil
+	return Answer{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Body: body}, nil
 }
 
 // spend takes one call from the budget, or says when there will be one.
--- a/platform/object.go
+++ b/objects/object.go
@@ -1,20 +1,13 @@
-package platform
+package objects
 
-import (
-	"context"
-
-	"pollengauge.dev/platform/wire"
-)
-
-// MaxValue is the largest value of an object, in bytes.
-const MaxValue = wire.MaxValue
+import "context"
 
 // Object is one stored object.
 type Object struct {
 	Kind string
 	Name string
-	// Version counts the writes of this object. It never goes back, not even
-	// when the object is deleted and created again, and need not start at 1.
+	// Version rises with each write of this object. It never goes back, not
+	// even when the object is deleted and created again.
 	Version uint64
 	// Revision is the store-wide number of the write that made this version.
 	// It orders any two writes of the store.
@@ -35,9 +28,9 @@
 // String returns the name used in logs.
 func (t EventType) String() string {
 	if t == EventDelete {
-		return wire.TypeDelete
+		return "delete"
 	}
-	return wire.TypePut
+	return "put"
 }
 
 // Event is one change seen by a watch.
@@ -81,47 +74,3 @@
 
 // Writes reports whether the operation changes the store.
 func (o Op) Writes() bool { return o == OpCreate || o == OpUpdate || o == OpDelete }
-
-// CheckAddress returns an *InvalidError unless kind and name can address an
-// object. A Store calls it before it spends a call.
-func CheckAddress(kind, name string) error {
-	if err := CheckKind(kind); err != nil {
-		return err
-	}
-	if !wire.ValidName(name) {
-		return &InvalidError{Field: "name", Value: name, Want: "1 to 253 of letters, digits and -_.:~, a letter or digit first"}
-	}
-	return nil
-}
-
-// CheckKind returns an *InvalidError unless kind is well formed.
-func CheckKind(kind string) error {
-	if !wire.ValidKind(kind) {
-		return &InvalidError{Field: "kind", Value: kind, Want: "1 to 63 of lower-case letters, digits and dashes, a letter first"}
-	}
-	return nil
-}
-
-// CheckPrefix returns an *InvalidError unless prefix can start a name.
-func CheckPrefix(prefix string) error {
-	if !wire.ValidPrefix(prefix) {
-		return &InvalidError{Field: "prefix", Value: prefix, Want: "the start of a name, or nothing"}
-	}
-	return nil
-}
-
-// CheckVersion returns an *InvalidError for version 0, which no object has.
-func CheckVersion(version uint64) error {
-	if version == 0 {
-		return &InvalidError{Field: "version", Value: "0", Want: "the version that was read"}
-	}
-	return nil
-}
-
-// CheckValue returns a *TooLargeError for a value over MaxValue.
-func CheckValue(value []byte) error {
-	if len(value) > MaxValue {
-		return &TooLargeError{What: "value", Size: int64(len(value)), Limit: MaxValue}
-	}
-	return nil
-}
--- a/platform/options.go
+++ b/objects/options.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"net/url"
@@ -17,11 +17,13 @@
 	DefaultBurst     = 40
 )
 
-// Options sets up a Client. Only Endpoint has to be given; zero values of the
+// Options sets up a Client. Only Endpoint and Wire have to be given; zero values of the
 // others mean the defaults above, where there is one.
 type Options struct {
 	// Endpoint is the platform's base URL, for example http://10.0.0.9:7070.
 	Endpoint string
+	// Wire is how the store at Endpoint speaks. There is no default.
+	Wire Wire
 	// Timeout bounds one call, from dialling to the last byte. Longer rides
 	// out a slow platform; shorter frees callers sooner, but turns slow
 	// writes into ambiguous ones, each of which costs a read to settle.
@@ -72,6 +74,9 @@
 
 // base checks the endpoint and returns it without a trailing slash.
 func (o Options) base() (string, error) {
+	if o.Wire == nil {
+		return "", &InvalidError{Field: "wire", Want: "how the store speaks"}
+	}
 	u, err := url.Parse(o.Endpoint)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") || (u.Path != "" && u.Path != "/") || u.RawQuery != "" {
 		return "", &InvalidError{Field: "endpoint", Value: o.Endpoint, Want: "http://host:port or https://host:port"}
--- a/platform/view.go
+++ b/objects/view.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 // maxTombstones bounds what a view remembers of deleted objects. Over it the
 // watcher lists again, which moves the floor and frees them.
--- a/proof/pause.go
+++ b/proof/pause.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"pollengauge.dev/node/testing/memnet"
-	"pollengauge.dev/platform"
+	"pollengauge.dev/objects"
 )
 
 // pausedStore is the platform as one host reaches it. While the VM is paused
@@ -13,48 +13,48 @@
 // ended: the clock went on, the process did not. A check that was true when
 // the platform answered may be long untrue by then.
 type pausedStore struct {
-	store platform.Store
+	store objects.Store
 	net   *memnet.Network
 	host  string
 }
 
-// Get implements platform.Store.
-func (s *pausedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objects.Store.
+func (s *pausedStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	s.net.AwaitThaw(s.host)
 	defer s.net.AwaitThaw(s.host)
 	return s.store.Get(ctx, kind, name)
 }
 
-// List implements platform.Store.
-func (s *pausedStore) List(ctx context.Context, kind, prefix string) ([]platform.Object, uint64, error) {
+// List implements objects.Store.
+func (s *pausedStore) List(ctx context.Context, kind, prefix string) ([]objects.Object, uint64, error) {
 	s.net.AwaitThaw(s.host)
 	defer s.net.AwaitThaw(s.host)
 	return s.store.List(ctx, kind, prefix)
 }
 
-// Create implements platform.Store.
-func (s *pausedStore) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
+// Create implements objects.Store.
+func (s *pausedStore) Create(ctx context.Context, kind, name string, value []byte) (objects.Object, error) {
 	s.net.AwaitThaw(s.host)
 	defer s.net.AwaitThaw(s.host)
 	return s.store.Create(ctx, kind, name, value)
 }
 
-// Update implements platform.Store.
-func (s *pausedStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+// Update implements objects.Store.
+func (s *pausedStore) Update(ctx context.Context, o objects.Object) (objects.Object, error) {
 	s.net.AwaitThaw(s.host)
 	defer s.net.AwaitThaw(s.host)
 	return s.store.Update(ctx, o)
 }
 
-// Delete implements platform.Store.
+// Delete implements objects.Store.
 func (s *pausedStore) Delete(ctx context.Context, kind, name string, version uint64) error {
 	s.net.AwaitThaw(s.host)
 	defer s.net.AwaitThaw(s.host)
 	return s.store.Delete(ctx, kind, name, version)
 }
 
-// Watch implements platform.Store.
-func (s *pausedStore) Watch(ctx context.Context, kind string, from uint64) ([]platform.Event, uint64, error) {
+// Watch implements objects.Store.
+func (s *pausedStore) Watch(ctx context.Context, kind string, from uint64) ([]objects.Event, uint64, error) {
 	s.net.AwaitThaw(s.host)
 	defer s.net.AwaitThaw(s.host)
 	return s.store.Watch(ctx, kind, from)
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -2,7 +2,7 @@
 // tests, the demo and benchmarks. It keeps everything in memory.
 //
 // New returns a Server that speaks the same HTTP as the platform; NewMemory
-// returns a platform.Store without HTTP. Both share one store, so they keep
+// returns a objects.Store without HTTP. Both share one store, so they keep
 // the same rules and take the same Faults, from code (SetFaults) or, on a
 // Server, by POST /faults.
 //
