node, config, platform: a node on the users' platform through a dialect

Cause: the platform's callers name hosts and paths, its upstreams have headers of their own and don't copy ours; the node knew one interface only. Change: node.Dialect is the seam between the node's decisions and a wire; config has routes by host and longest prefix with weighted shares; platform/ translates settings, configuration, heartbeats and headers. The node's gate, routing, retries, membership and configuration serve both.

--- a/call/context.go
+++ b/call/context.go
@@ -30,6 +30,12 @@
 	HeaderVisit = "Pollengauge-Visit"
 	// HeaderHome marks a call that was forwarded to the home of its key.
 	HeaderHome = "Pollengauge-Home"
+	// HeaderHost, between nodes, is the Host that the caller named, where it
+	// is not the service.
+	HeaderHost = "Pollengauge-Host"
+	// HeaderOrigin, between nodes, is the service on the VM where the request
+	// entered the system.
+	HeaderOrigin = "Pollengauge-Origin"
 	// HeaderIdempotencyKey is the published name of a caller's key.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderTraceParent is W3C trace context.
@@ -58,6 +64,14 @@
 	HeaderStale = "Pollengauge-Stale"
 )
 
+// NodeHeaders are the headers that only nodes may set: what they tell each
+// other, and their upstreams in the project's own interface.
+var NodeHeaders = []string{
+	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress,
+	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
+	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderStale,
+}
+
 // PropagatedHeaders are what an upstream copies onto its own calls.
 var PropagatedHeaders = []string{HeaderRequest, HeaderVisit, HeaderTraceParent}
 
@@ -80,6 +94,8 @@
 	// maxNameLength is the longest name of a profile, service or reason, in
 	// bytes.
 	maxNameLength = 63
+	// maxHostLength is the longest Host: a name (RFC 1035) and a port.
+	maxHostLength = 253 + 6
 	// maxDigits keeps every number read from a header far from overflow.
 	maxDigits = 7
 	// maxLoad is the highest load in a Report, a hundred times the limit.
@@ -105,6 +121,11 @@
 	// made, as far as its way down knows: those of the visits that it comes
 	// from. It never falls on the way down and stops at MaxProgress.
 	Progress int
+	// Host is the Host that the caller named, "" where it is the service.
+	Host string
+	// Origin is the service on the VM where the request entered the system,
+	// "" where nobody has to be told.
+	Origin string
 }
 
 // Inject writes c to h, replacing what was there.
@@ -115,6 +136,8 @@
 	h.Set(HeaderTimeout, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
 	h.Set(HeaderCredit, strconv.Itoa(c.Credit))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
+	setOptional(h, HeaderHost, c.Host)
+	setOptional(h, HeaderOrigin, c.Origin)
 	if c.Progress == 0 {
 		h.Del(HeaderProgress)
 		return
@@ -122,6 +145,15 @@
 	h.Set(HeaderProgress, strconv.Itoa(c.Progress))
 }
 
+// setOptional sets a header that is absent when its value is empty.
+func setOptional(h http.Header, name, value string) {
+	if value == "" {
+		h.Del(name)
+		return
+	}
+	h.Set(name, value)
+}
+
 // Extract reads a Context that another node wrote. A missing, malformed or
 // out-of-range header is a *HeaderError.
 func Extract(h http.Header) (Context, error) {
@@ -150,6 +182,12 @@
 	if c.Progress, err = optionalNumber(h, HeaderProgress, MaxProgress); err != nil {
 		return Context{}, err
 	}
+	if c.Host, err = optionalToken(h, HeaderHost, maxHostLength); err != nil {
+		return Context{}, err
+	}
+	if c.Origin, err = optionalToken(h, HeaderOrigin, maxNameLength); err != nil {
+		return Context{}, err
+	}
 	c.Level = Level(level)
 	c.Timeout = time.Duration(timeout) * time.Millisecond
 	return c, nil
@@ -223,6 +261,14 @@
 	return value, nil
 }
 
+// optionalToken is token for a header that may be absent.
+func optionalToken(h http.Header, name string, limit int) (string, error) {
+	if len(h[name]) == 0 {
+		return "", nil
+	}
+	return token(h, name, limit)
+}
+
 // ValidToken reports whether s is 1 to limit visible ASCII characters.
 func ValidToken(s string, limit int) bool {
 	if s == "" || len(s) > limit {
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -93,6 +93,15 @@
 	// ReasonAnswerNotHeld: the call completed, but its answer was too large or
 	// too old to be kept.
 	ReasonAnswerNotHeld Reason = "answer-not-held"
+	// ReasonNoConfig: the node knows no configuration yet.
+	ReasonNoConfig Reason = "no-config"
+	// ReasonNoRoute: no route has the request's host and path.
+	ReasonNoRoute Reason = "no-route"
+	// ReasonNotBelieved: an answer came that can't be the upstream's answer to
+	// this request.
+	ReasonNotBelieved Reason = "not-believed"
+	// ReasonOtherInstance: another incarnation of the upstream has its address.
+	ReasonOtherInstance Reason = "other-instance"
 	// ReasonBadRequest: the request or one of its headers is malformed.
 	ReasonBadRequest Reason = "bad-request"
 	// ReasonTooLarge: a header or body is over its limit.
--- a/cmd/pollengauge/internal/cli/commands.go
+++ b/cmd/pollengauge/internal/cli/commands.go
@@ -6,6 +6,7 @@
 func commands() []*cobra.Command {
 	return []*cobra.Command{
 		newNodeCommand(),
+		newSidecarCommand(),
 		newApplyCommand(),
 		newGetCommand(),
 		newDiffCommand(),
--- /dev/null
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -0,0 +1,42 @@
+package cli
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"pollengauge.dev/observe"
+	"pollengauge.dev/platform"
+)
+
+func newSidecarCommand() *cobra.Command {
+	path := ""
+	checkOnly := false
+	cmd := &cobra.Command{
+		Use:   "sidecar",
+		Short: "Run the node beside an upstream on the users' platform",
+		Long: `Run the node beside an upstream on the users' platform until SIGTERM or
+SIGINT, then drain within the platform's grace period. The settings file is the
+platform's; its path is in ` + platform.SettingsVariable + `. Numbered events go to stdout.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			settings, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			if checkOnly {
+				out := &printer{w: cmd.OutOrStdout()}
+				out.text("settings are usable\n")
+				return out.result()
+			}
+			log, err := observe.NewLogger(observe.LoggerConfig{Output: cmd.OutOrStdout(), Format: observe.Logfmt})
+			if err != nil {
+				return err
+			}
+			return platform.Run(cmd.Context(), settings, log)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file")
+	cmd.Flags().BoolVar(&checkOnly, "check", false, "only check the settings file")
+	return cmd
+}
--- a/config/compiled.go
+++ b/config/compiled.go
@@ -13,6 +13,7 @@
 	fallback *Profile
 	services map[string]*rules
 	any      *rules
+	routes   routes
 }
 
 // rules are the assignments of one service.
@@ -55,6 +56,7 @@
 	}
 	c.any = c.services[AnyService]
 	delete(c.services, AnyService)
+	c.routes = compileRoutes(s.Routes)
 	return c
 }
 
@@ -163,5 +165,9 @@
 		*vary = append([]string(nil), *vary...)
 	}
 	s.Assignments = append([]Assignment(nil), s.Assignments...)
+	s.Routes = append([]Route(nil), s.Routes...)
+	for i := range s.Routes {
+		s.Routes[i] = s.Routes[i].clone()
+	}
 	return s
 }
--- a/config/diff.go
+++ b/config/diff.go
@@ -55,6 +55,7 @@
 	var out []Difference
 	out = diffItems(out, profileItems(a), profileItems(b))
 	out = diffItems(out, assignmentItems(a), assignmentItems(b))
+	out = diffItems(out, routeItems(a), routeItems(b))
 	return diffItems(out, limitItems(a), limitItems(b))
 }
 
@@ -125,6 +126,7 @@
 		{"key", string(p.Key)},
 		{"record", string(p.Record)},
 		{"deadline", p.Deadline.String()},
+		{"target", p.Target.String()},
 		{"maxWait", p.MaxWait.String()},
 		{"credit", strconv.Itoa(p.Credit)},
 		{"brownout.maxAge", p.Brownout.MaxAge.String()},
--- a/config/encode.go
+++ b/config/encode.go
@@ -11,7 +11,7 @@
 
 // MaxEncoded is the largest encoded Set in bytes. A Set travels whole in one
 // gossip message and, with its history, in one object of the platform.
-const MaxEncoded = 256 << 10
+const MaxEncoded = 512 << 10
 
 // Encode validates s and returns its canonical encoding: equal Sets give
 // equal bytes, and Decode takes nothing else.
@@ -38,7 +38,7 @@
 // to the very same bytes leaves one reading.
 func Decode(data []byte) (Set, error) {
 	if len(data) > MaxEncoded {
-		return Set{}, &EncodingError{Want: "at most 256 KiB"}
+		return Set{}, &EncodingError{Want: "at most 512 KiB"}
 	}
 	var s Set
 	if err := json.Unmarshal(data, &s); err != nil {
@@ -62,7 +62,7 @@
 
 // ContentHash identifies what s decides, without version, author and time.
 func (s Set) ContentHash() (string, error) {
-	content := Set{Profiles: s.Profiles, Assignments: s.Assignments, Limits: s.Limits}
+	content := Set{Profiles: s.Profiles, Assignments: s.Assignments, Routes: s.Routes, Limits: s.Limits}
 	data, err := marshal(content)
 	if err != nil {
 		return "", err
--- a/config/parse.go
+++ b/config/parse.go
@@ -21,7 +21,7 @@
 // have lines. Problems are looked for only in a file that can be read.
 func Parse(data []byte, format Format) (Set, error) {
 	if len(data) > MaxEncoded {
-		return Set{}, &ParseError{Field: rootField, Value: strconv.Itoa(len(data)), Want: "at most 262144 bytes"}
+		return Set{}, &ParseError{Field: rootField, Value: strconv.Itoa(len(data)), Want: "at most 524288 bytes"}
 	}
 	root, err := parseTree(data, format)
 	if err != nil {
@@ -64,6 +64,9 @@
 		"assignments": func(n *yaml.Node, at string) error {
 			return readList(n, at, MaxAssignments, &s.Assignments, readAssignment)
 		},
+		"routes": func(n *yaml.Node, at string) error {
+			return readList(n, at, MaxRoutes, &s.Routes, readRoute)
+		},
 		"limits": func(n *yaml.Node, at string) error { return readLimits(n, at, &s.Limits) },
 	}, "profiles")
 	return err
@@ -86,6 +89,27 @@
 	return err
 }
 
+func readRoute(n *yaml.Node, at string, r *Route) error {
+	_, err := readObject(n, at, fields{
+		"name":       func(n *yaml.Node, at string) error { return readString(n, at, &r.Name) },
+		"host":       func(n *yaml.Node, at string) error { return readString(n, at, &r.Host) },
+		"pathPrefix": func(n *yaml.Node, at string) error { return readString(n, at, &r.PathPrefix) },
+		"shares": func(n *yaml.Node, at string) error {
+			return readList(n, at, MaxShares, &r.Shares, readShare)
+		},
+		"profile": func(n *yaml.Node, at string) error { return readString(n, at, &r.Profile) },
+	}, "name", "host", "pathPrefix", "shares", "profile")
+	return err
+}
+
+func readShare(n *yaml.Node, at string, s *Share) error {
+	_, err := readObject(n, at, fields{
+		"service": func(n *yaml.Node, at string) error { return readString(n, at, &s.Service) },
+		"weight":  func(n *yaml.Node, at string) error { return readInt(n, at, &s.Weight) },
+	}, "service", "weight")
+	return err
+}
+
 func readProfile(n *yaml.Node, at string, p *Profile) error {
 	*p = NewProfile("", 0)
 	present, err := readObject(n, at, fields{
@@ -96,6 +120,7 @@
 		"key":          func(n *yaml.Node, at string) error { return readString(n, at, &p.Key) },
 		"record":       func(n *yaml.Node, at string) error { return readString(n, at, &p.Record) },
 		"deadline":     func(n *yaml.Node, at string) error { return readText(n, at, &p.Deadline) },
+		"target":       func(n *yaml.Node, at string) error { return readText(n, at, &p.Target) },
 		"maxWait":      func(n *yaml.Node, at string) error { return readText(n, at, &p.MaxWait) },
 		"credit":       func(n *yaml.Node, at string) error { return readInt(n, at, &p.Credit) },
 		"brownout":     func(n *yaml.Node, at string) error { return readBrownout(n, at, &p.Brownout) },
--- /dev/null
+++ b/config/route.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Bounds of Route.
+const (
+	// MaxRoutes is the most routes of a Set. Several hundred are added at once
+	// where each customer gets its own.
+	MaxRoutes = 2048
+	// MaxShares is the most services that one route may be split among.
+	MaxShares = 16
+	// MaxWeight bounds Share.Weight.
+	MaxWeight = 1_000_000
+	// maxHostLength is the longest name of a host (RFC 1035), in bytes.
+	maxHostLength = 253
+)
+
+// Route sends the requests for one host and path to a service, or to several
+// in fixed proportions. Where a Set has routes, callers name hosts and paths
+// and know nothing of services. Of the routes of a host the one with the
+// longest prefix wins.
+type Route struct {
+	// Name tells routes apart for people.
+	Name string `json:"name" yaml:"name"`
+	// Host is the request's Host without a port.
+	Host string `json:"host" yaml:"host"`
+	// PathPrefix begins and ends with a slash. It is compared byte for byte
+	// with the path as it came.
+	PathPrefix string `json:"pathPrefix" yaml:"pathPrefix"`
+	// Shares are the services and their weights, at least one.
+	Shares []Share `json:"shares" yaml:"shares"`
+	// Profile is the name of the profile.
+	Profile string `json:"profile" yaml:"profile"`
+}
+
+// Share is the part of a route's requests that one service gets.
+type Share struct {
+	Service string `json:"service" yaml:"service"`
+	// Weight is relative to the sum of the route's weights. 0 gets nothing.
+	Weight int `json:"weight" yaml:"weight"`
+}
+
+func (v *validator) routes(s Set) {
+	v.check(len(s.Routes) <= MaxRoutes, "routes", strconv.Itoa(len(s.Routes)), "at most "+strconv.Itoa(MaxRoutes)+" routes")
+	profiles := make(map[string]bool, len(s.Profiles))
+	for _, p := range s.Profiles {
+		profiles[p.Name] = true
+	}
+	seen := make(map[routeKey]bool, len(s.Routes))
+	for i, r := range s.Routes {
+		at := "routes[" + strconv.Itoa(i) + "]"
+		v.check(r.Name != "" && len(r.Name) <= MaxPathLength && validText(r.Name), at+".name", r.Name, "1 to 256 bytes of text")
+		v.check(validHost(r.Host), at+".host", r.Host, "a host in lower case without a port")
+		v.check(validRoutePrefix(r.PathPrefix), at+".pathPrefix", r.PathPrefix, "a path of at most 256 bytes that begins and ends with /")
+		v.check(profiles[r.Profile], at+".profile", r.Profile, "the name of a profile")
+		v.shares(r.Shares, at+".shares")
+		key := routeKey{r.Host, r.PathPrefix}
+		v.check(!seen[key], at, r.Host+r.PathPrefix, "a host and prefix that no other route has")
+		seen[key] = true
+	}
+}
+
+func (v *validator) shares(shares []Share, at string) {
+	v.check(len(shares) >= 1 && len(shares) <= MaxShares, at, strconv.Itoa(len(shares)), "1 to "+strconv.Itoa(MaxShares)+" services")
+	total := 0
+	for i, s := range shares {
+		place := at + "[" + strconv.Itoa(i) + "]"
+		v.check(validName(s.Service), place+".service", s.Service, wantName)
+		v.check(s.Weight >= 0 && s.Weight <= MaxWeight, place+".weight", strconv.Itoa(s.Weight), "0 to "+strconv.Itoa(MaxWeight))
+		total += max(s.Weight, 0)
+	}
+	v.check(total > 0, at, strconv.Itoa(total), "weights of which one is above 0")
+}
+
+func validHost(s string) bool {
+	return s != "" && len(s) <= maxHostLength && !strings.ContainsFunc(s, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' && r != '.' && r != '_'
+	})
+}
+
+func validRoutePrefix(s string) bool {
+	return s != "" && len(s) <= MaxPathLength && s[0] == '/' && s[len(s)-1] == '/' && validText(s)
+}
+
+// routeKey is what a route matches.
+type routeKey struct{ host, prefix string }
+
+// routes finds the route of a request.
+type routes struct {
+	byHost map[string]*hostRoutes
+}
+
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// longest is the length of the longest prefix.
+	longest int
+}
+
+func compileRoutes(list []Route) routes {
+	r := routes{byHost: make(map[string]*hostRoutes)}
+	for i := range list {
+		route := &list[i]
+		host := r.byHost[route.Host]
+		if host == nil {
+			host = &hostRoutes{byPrefix: make(map[string]*Route)}
+			r.byHost[route.Host] = host
+		}
+		host.byPrefix[route.PathPrefix] = route
+		host.longest = max(host.longest, len(route.PathPrefix))
+	}
+	return r
+}
+
+// Route returns the route of a request, nil if there is none. The host is
+// without a port and in lower case, the path as it came on the wire, without
+// its query.
+//
+// Prefixes end with a slash, so only those that end at a slash of the path are
+// looked up, from the longest: the work does not grow with the routes.
+func (c *Compiled) Route(host, path string) *Route {
+	h := c.routes.byHost[host]
+	if h == nil {
+		return nil
+	}
+	for end := min(len(path), h.longest); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if route := h.byPrefix[path[:slash+1]]; route != nil {
+			return route
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Routed tells whether callers of this Set name hosts and paths.
+func (c *Compiled) Routed() bool { return len(c.set.Routes) > 0 }
+
+// clone returns a copy that shares no memory with r.
+func (r Route) clone() Route {
+	r.Shares = slices.Clone(r.Shares)
+	return r
+}
+
+func routeItems(s Set) []item {
+	items := make([]item, len(s.Routes))
+	for i, r := range s.Routes {
+		items[i] = item{path: "routes[" + r.Host + r.PathPrefix + "]", fields: []field{
+			{"name", r.Name},
+			{"profile", r.Profile},
+			{"shares", formatShares(r.Shares)},
+		}}
+	}
+	return items
+}
+
+func formatShares(shares []Share) string {
+	parts := make([]string, len(shares))
+	for i, s := range shares {
+		parts[i] = s.Service + ":" + strconv.Itoa(s.Weight)
+	}
+	return strings.Join(parts, ",")
+}
--- a/config/set.go
+++ b/config/set.go
@@ -52,6 +52,10 @@
 	// that nobody waits for any more.
 	Deadline Duration `json:"deadline" yaml:"deadline"`
 
+	// Target is the time within which an answer has its full worth, 0 for the
+	// whole deadline. A queue that would use it up refuses at once instead.
+	Target Duration `json:"target,omitempty" yaml:"target,omitempty"`
+
 	// MaxWait is the longest wait in the queue of any one hop. Longer rides
 	// out short bursts; shorter refuses sooner, while the caller can still
 	// do something else, and leaves less backlog after a surge.
@@ -132,6 +136,9 @@
 	Profiles []Profile `json:"profiles" yaml:"profiles"`
 	// Assignments may be in any order, as the most specific one wins.
 	Assignments []Assignment `json:"assignments,omitempty" yaml:"assignments,omitempty"`
+	// Routes may be in any order, as the longest prefix wins. They are for
+	// deployments whose callers name hosts and paths instead of services.
+	Routes []Route `json:"routes,omitempty" yaml:"routes,omitempty"`
 	// Limits hold for all profiles together.
 	Limits Limits `json:"limits" yaml:"limits"`
 }
--- a/config/validate.go
+++ b/config/validate.go
@@ -16,7 +16,7 @@
 // Bounds of a Set. They keep it small enough to travel whole.
 const (
 	// MaxProfiles, MaxAssignments and MaxVary are the most entries of a list.
-	MaxProfiles    = 64
+	MaxProfiles    = 256
 	MaxAssignments = 1024
 	MaxVary        = 8
 	// MaxNameLength, MaxPathLength and MaxTextLength are in bytes.
@@ -54,6 +54,7 @@
 	v.profiles(s.Profiles)
 	v.order(s.Profiles)
 	v.assignments(s)
+	v.routes(s)
 	v.check(inRange(s.Limits.RetryRatio, 0, MaxRetryRatio), "limits.retryRatio", formatFloat(s.Limits.RetryRatio), "a number from 0 to 0.5")
 	if len(v.problems) == 0 {
 		v.size(s)
@@ -85,7 +86,7 @@
 }
 
 func (v *validator) profiles(profiles []Profile) {
-	v.check(len(profiles) <= MaxProfiles, "profiles", strconv.Itoa(len(profiles)), "at most 64 profiles")
+	v.check(len(profiles) <= MaxProfiles, "profiles", strconv.Itoa(len(profiles)), "at most 256 profiles")
 	seen := make(map[string]bool, len(profiles))
 	for i, p := range profiles {
 		at := "profiles[" + strconv.Itoa(i) + "]"
@@ -103,6 +104,7 @@
 	v.check(slices.Contains(recordModes, p.Record), at+".record", string(p.Record), "none, claim or peer")
 	v.check(!p.Record.needsKey() || p.Unrepeatable, at+".record", string(p.Record), "none, because the profile is not unrepeatable")
 	v.check(p.Deadline >= MinDeadline && p.Deadline <= MaxDeadline, at+".deadline", p.Deadline.String(), "10ms to 10m")
+	v.check(p.Target >= 0 && p.Target <= p.Deadline, at+".target", p.Target.String(), "0s to the deadline")
 	v.check(p.MaxWait >= 0 && p.MaxWait <= p.Deadline, at+".maxWait", p.MaxWait.String(), "0s to the deadline")
 	v.check(p.Credit >= 0 && p.Credit <= MaxCredit, at+".credit", strconv.Itoa(p.Credit), "0 to 16")
 	v.check(inRange(float64(p.Prefer), 0, 1), at+".prefer", formatFloat(float64(p.Prefer)), wantPreference)
@@ -180,7 +182,7 @@
 func (v *validator) size(s Set) {
 	data, err := marshal(s)
 	v.check(err == nil, "set", "", "values that JSON can hold")
-	v.check(len(data) <= MaxEncoded, "set", strconv.Itoa(len(data)), "at most 262144 bytes in all")
+	v.check(len(data) <= MaxEncoded, "set", strconv.Itoa(len(data)), "at most 524288 bytes in all")
 }
 
 func validName(s string) bool {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -14,6 +14,11 @@
 // upstreamRequest builds the request for the local upstream.
 func (n *Node) upstreamRequest(up *upstream, v *visit, req *request) *http.Request {
 	out := outgoing(up.Addr, req, upstreamFields)
+	if n.spoken() {
+		out.Host = req.call.Host
+		n.settings.Dialect.WriteUpstream(out.Header, n.upstreamTold(up, req))
+		return out
+	}
 	out.Host = req.service
 	setFields(out.Header,
 		field{call.HeaderRequest, req.call.RequestID},
@@ -24,6 +29,16 @@
 	return out
 }
 
+// upstreamTold is what the upstream is told of a request in a dialect.
+func (n *Node) upstreamTold(up *upstream, req *request) UpstreamRequest {
+	return UpstreamRequest{
+		ID:       req.call.RequestID,
+		Origin:   req.call.Origin,
+		Instance: up.Instance,
+		Timeout:  req.deadline.Sub(n.now()),
+	}
+}
+
 // peerRequest builds the request for another node.
 func (n *Node) peerRequest(addr string, req *request, lent int) *http.Request {
 	out := outgoing(addr, req, peerFields)
@@ -129,10 +144,11 @@
 		return a
 	}
 	header := resp.Header
-	stripHop(header)
-	a := &answer{report: report, reported: true, status: resp.StatusCode, header: header, resp: resp, stale: header.Get(call.HeaderStale)}
 	after := parseRetryAfter(header)
-	stripOwn(header)
+	stale := header.Get(call.HeaderStale)
+	stripHop(header)
+	n.strip(header)
+	a := &answer{report: report, reported: true, status: resp.StatusCode, header: header, resp: resp, stale: stale}
 	a.body = &cancelBody{readCloser: resp.Body, cancel: cancel}
 	if report.Outcome != call.Complete {
 		a.refusal = &refusal{outcome: report.Outcome, reason: report.Reason, after: after}
--- a/node/edge.go
+++ b/node/edge.go
@@ -44,8 +44,10 @@
 	n.finishRefusal(a, req)
 	defer a.close()
 	n.recordRoot(req, a, start)
-	w.Header().Set(call.HeaderRequest, req.call.RequestID)
-	a.outside = true
+	if !n.spoken() {
+		w.Header().Set(call.HeaderRequest, req.call.RequestID)
+	}
+	a.outside, a.plain = true, n.spoken()
 	limitWrite(w, req.deadline)
 	if err := writeAnswer(w, a); err != nil {
 		n.abort(req, err)
@@ -58,7 +60,7 @@
 	if req.key == "" && req.profile.Key == config.KeyRequired {
 		return n.refuse(call.NotRun, call.ReasonKeyRequired, 0)
 	}
-	if req.profile.Unrepeatable && !req.idempotent {
+	if req.profile.Unrepeatable && !req.idempotent && !n.spoken() {
 		return n.runKeyed(ctx, req)
 	}
 	return n.admitAndDispatch(ctx, req)
@@ -185,13 +187,13 @@
 		return nil, &BodyError{Cause: err}
 	}
 	body.shared = n.settings.Ablate.SharedStream
-	stripOwn(r.Trailer)
+	n.strip(r.Trailer)
 	body.onEnd(func() {
 		// net/http goes on to watch the connection for its end, and a deadline
 		// left in place would look like one: the call would be cancelled while
 		// its caller waits for the answer.
 		_ = controller.SetReadDeadline(time.Time{})
-		stripOwn(r.Trailer)
+		n.strip(r.Trailer)
 	})
 	return &request{
 		method:     r.Method,
--- a/node/forward.go
+++ b/node/forward.go
@@ -76,6 +76,9 @@
 	// outside is true for an answer that leaves the system: callers get the
 	// outcome and the reason, not what nodes tell each other.
 	outside bool
+	// plain is true for an answer of which no report is told, as a dialect has
+	// its own words.
+	plain bool
 	// reported is true when a node's own report came with the answer; its
 	// CreditLeft can be trusted even when the outcome is unknown.
 	reported bool
@@ -128,9 +131,11 @@
 	for _, name := range announced {
 		h.Add("Trailer", name)
 	}
-	if a.outside {
+	switch {
+	case a.plain:
+	case a.outside:
 		tellOutside(h, a.report)
-	} else {
+	default:
 		a.report.Inject(h)
 	}
 	if a.stale != "" {
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -48,6 +48,9 @@
 		{GossipListener, n.settings.Gossip},
 		{AdminListener, n.settings.Admin},
 	} {
+		if at.addr == "" {
+			continue // only Check lets a listener without an address pass
+		}
 		if err := n.listen(at.name, at.addr); err != nil {
 			return err
 		}
@@ -108,6 +111,9 @@
 		// "OPTIONS *" gets an outcome like any other request.
 		DisableGeneralOptionsHandler: true,
 	}
+	if n.listeners[name] == nil {
+		return
+	}
 	listener := limitListener(n.listeners[name], conns)
 	n.servers = append(n.servers, server)
 	n.done.Go(func() {
--- a/node/local.go
+++ b/node/local.go
@@ -76,8 +76,10 @@
 	}
 	visitCtx, cancel := context.WithDeadline(ctx, req.deadline)
 	v.ctx = visitCtx
-	n.visits.add(v)
-	v.children = atmostonce.NewVisit(cmp.Or(req.key, v.id))
+	if !n.spoken() {
+		n.visits.add(v)
+		v.children = atmostonce.NewVisit(cmp.Or(req.key, v.id))
+	}
 	done := &localCall{node: n, visit: v, cancel: cancel, request: req, arrived: arrived, started: n.now()}
 	return done.run(up)
 }
@@ -163,6 +165,9 @@
 		_ = resp.Body.Close()
 		return l.failed(false, &SwitchedError{})
 	}
+	if l.node.spoken() {
+		return l.answeredInDialect(up, resp)
+	}
 	claim := call.Complete
 	if up.ShedStatus != 0 && resp.StatusCode == up.ShedStatus {
 		claim = call.NotRun
@@ -181,6 +186,59 @@
 	return l.gaveUp(resp, header, claim, reason, hop)
 }
 
+// answeredInDialect judges an answer by what the dialect reads in its head. The
+// upstream's word that it did not run the request is taken: the dialect has it
+// say so only before it has done anything.
+func (l *localCall) answeredInDialect(up *upstream, resp *http.Response) *answer {
+	told := l.node.settings.Dialect.ReadUpstream(resp, l.node.upstreamTold(up, l.request))
+	stripHop(resp.Header)
+	l.node.strip(resp.Header)
+	switch told.Outcome {
+	case call.Complete:
+		return l.completeHeld(resp)
+	case call.NotRun:
+		if told.Reason == call.ReasonOtherInstance {
+			l.node.noteInstance(up, told.Instance)
+		}
+		return l.gaveUp(resp, resp.Header, call.NotRun, told.Reason, "")
+	}
+	// The connection is not used again: what comes on it next may belong to
+	// any request.
+	_ = resp.Body.Close()
+	return l.notBelieved(told.Reason)
+}
+
+// completeHeld passes on the upstream's answer once it is whole.
+func (l *localCall) completeHeld(resp *http.Response) *answer {
+	body, whole, err := heldBody(resp)
+	if err != nil {
+		_ = resp.Body.Close()
+		return l.notBelieved(call.ReasonTruncated)
+	}
+	if !whole {
+		return l.complete(resp, resp.Header)
+	}
+	_ = resp.Body.Close()
+	l.finish(resultOf(resp.StatusCode), call.Complete, call.ReasonNone, resp.StatusCode)
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: memoryBody(body)}
+	a.report = call.Report{Outcome: call.Complete, Hop: l.node.settings.Service}
+	l.node.fillReport(&a.report, l.visit)
+	return a
+}
+
+// notBelieved ends a run whose answer can't be the one to its request.
+func (l *localCall) notBelieved(reason call.Reason) *answer {
+	if l.visit.ctx.Err() != nil {
+		reason = lossReason(l.visit.ctx, l.visit.ctx.Err())
+	}
+	l.visit.close()
+	l.finish(admission.Failed, call.Unknown, reason, 0)
+	a := l.node.refuse(call.Unknown, reason, 0)
+	a.reported = true
+	l.node.fillReport(&a.report, l.visit)
+	return a
+}
+
 // complete passes on the upstream's own answer.
 func (l *localCall) complete(resp *http.Response, header http.Header) *answer {
 	a := &answer{status: resp.StatusCode, header: header, resp: resp}
@@ -247,7 +305,9 @@
 	}
 	l.finished = true
 	l.visit.close()
-	l.node.visits.remove(l.visit)
+	if l.visit.id != "" {
+		l.node.visits.remove(l.visit)
+	}
 	l.cancel()
 	waited := l.visit.ticket.Waited()
 	profile := l.node.metrics.Profile(l.request.call.Profile)
--- a/node/node.go
+++ b/node/node.go
@@ -29,7 +29,9 @@
 type Node struct {
 	settings Settings
 	id       string
-	network  Network
+	// host is the VM's address without a port.
+	host    string
+	network Network
 	// between is the network to and from other nodes; tls is nil without TLS.
 	between Network
 	tls     *secure.Source
@@ -65,6 +67,8 @@
 	peers         *http.Transport
 
 	announceMu sync.Mutex
+	// announced is guarded by announceMu.
+	announced  announcedInstances
 	drainMu    sync.Mutex
 	drainTimer *time.Timer
 	targetsMu  sync.Mutex
@@ -76,6 +80,8 @@
 	servers   []*http.Server
 	active    atomic.Int64
 	draining  atomic.Bool
+	// ending is set once the process is to end.
+	ending atomic.Bool
 	// ownSlots are those of the upstream here; joined tells that the others
 	// may know of them.
 	ownSlots  atomic.Int64
@@ -106,6 +112,7 @@
 		changes:   newLevelChanges(),
 	}
 	n.configSince.Store(n.started.UnixNano())
+	n.host, _, _ = net.SplitHostPort(settings.Outbound)
 	n.id = string(atmostonce.NewIncarnation(rand.Reader))
 	n.visits = newVisits(n.id[:idPrefix] + ".")
 	for _, build := range []func() error{n.buildView, n.buildNetworks, n.buildPlatform, n.buildDecisions, n.buildKeys} {
@@ -187,7 +194,7 @@
 	}
 	n.serve(EdgeListener, http.HandlerFunc(n.serveEdge), n.settings.EdgeConns)
 	n.serve(PeerListener, http.HandlerFunc(n.servePeer), n.settings.PeerInbound)
-	n.serve(OutboundListener, http.HandlerFunc(n.serveOutbound), n.settings.EdgeConns)
+	n.serve(OutboundListener, n.outboundHandler(), n.settings.EdgeConns)
 	n.serve(AdminListener, n.adminHandler(), adminConns)
 	if err := n.startMembership(ctx); err != nil {
 		n.Close()
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -9,6 +9,14 @@
 	"pollengauge.dev/observe"
 )
 
+// outboundHandler serves the listener at which requests come from this VM.
+func (n *Node) outboundHandler() http.Handler {
+	if n.spoken() {
+		return http.HandlerFunc(n.serveRouted)
+	}
+	return http.HandlerFunc(n.serveOutbound)
+}
+
 // serveOutbound carries a call that the local upstream makes. The Host names
 // the service.
 func (n *Node) serveOutbound(w http.ResponseWriter, r *http.Request) {
--- a/node/peer.go
+++ b/node/peer.go
@@ -38,6 +38,11 @@
 		return
 	}
 	service := r.Host
+	if service != n.settings.Service && n.spoken() {
+		// The address now belongs to another VM than the sender takes it for.
+		n.writePeerRefusal(w, c, n.refuse(call.NotRun, call.ReasonOtherInstance, 0))
+		return
+	}
 	if service != n.settings.Service && homeHops == 0 {
 		n.writeBad(w, r, &WrongServiceError{Service: service, Want: n.settings.Service})
 		return
@@ -55,7 +60,10 @@
 	}
 	req.call = c
 	req.deadline = n.now().Add(c.Timeout)
-	stripOwn(req.header)
+	if n.spoken() {
+		req.idempotent = !profile.Unrepeatable
+	}
+	n.strip(req.header)
 	req.homeHops = homeHops
 	start := n.now()
 	a := n.runPeer(r.Context(), req)
@@ -77,6 +85,13 @@
 	}
 }
 
+// writePeerRefusal tells another node of a refusal that needs no decision.
+func (n *Node) writePeerRefusal(w http.ResponseWriter, c call.Context, a *answer) {
+	if err := writeAnswer(w, a); err != nil {
+		n.noteAbort(&request{call: c}, err)
+	}
+}
+
 // profileOf finds the root's profile. One that this node's configuration does
 // not have (the sender's is newer) is replaced by the match here.
 func (n *Node) profileOf(name string, r *http.Request) *config.Profile {
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -94,6 +94,10 @@
 	if retryAfterUseful(a.status) {
 		a.refusal.after = max(a.refusal.after, n.retryAfter(a, req))
 	}
+	if n.spoken() {
+		n.speakRefusal(a, req)
+		return
+	}
 	setRetryAfter(a.header, a.refusal.after)
 	if a.body != nil && a.report.Outcome != call.Complete && a.header.Get("Content-Type") != "" {
 		return
@@ -115,6 +119,20 @@
 	a.body = memoryBody(append(body, '\n'))
 }
 
+// speakRefusal gives a refusal the form of the dialect.
+func (n *Node) speakRefusal(a *answer, req *request) {
+	a.close()
+	a.body, a.resp, a.trailer = nil, nil, nil
+	a.header = http.Header{}
+	a.plain = true
+	a.status = n.settings.Dialect.WriteRefusal(a.header, NodeRefusal{
+		ID:         req.call.RequestID,
+		Outcome:    a.report.Outcome,
+		Reason:     a.report.Reason,
+		RetryAfter: a.refusal.after,
+	})
+}
+
 func setRetryAfter(h http.Header, after time.Duration) {
 	if after <= 0 {
 		return
--- /dev/null
+++ b/node/routed.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"pollengauge.dev/call"
+	"pollengauge.dev/config"
+	"pollengauge.dev/observe"
+)
+
+// serveRouted is the root of every request where a dialect is spoken: those of
+// callers on this VM and those of its upstream.
+func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request) {
+	n.active.Add(1)
+	defer n.active.Add(-1)
+	req, refused := n.routedRequest(w, r)
+	if refused != nil {
+		n.writeRefused(w, refused, r)
+		return
+	}
+	n.serveRoot(w, r, req)
+}
+
+// writeRefused answers a request that has no route or can't be read. Nothing
+// was run.
+func (n *Node) writeRefused(w http.ResponseWriter, a *answer, r *http.Request) {
+	id := ""
+	if told, err := n.settings.Dialect.ReadCaller(r.Header); err == nil {
+		id = told.ID
+	}
+	req := &request{call: call.Context{RequestID: id}}
+	n.finishRefusal(a, req)
+	if err := writeAnswer(w, a); err != nil {
+		n.noteAbort(req, err)
+	}
+}
+
+// routedRequest reads a request and finds its route, or returns the refusal.
+func (n *Node) routedRequest(w http.ResponseWriter, r *http.Request) (*request, *answer) {
+	if !n.config.Status().Heard {
+		// A node that knows no configuration can't say that a route isn't there.
+		return nil, n.refuse(call.NotRun, call.ReasonNoConfig, noConfigRetry)
+	}
+	told, err := n.settings.Dialect.ReadCaller(r.Header)
+	if err != nil {
+		n.log.Emit(observe.BadRequest, observe.Err(err))
+		return nil, n.refuse(call.NotRun, call.ReasonBadRequest, 0)
+	}
+	current := n.config.Current()
+	route := current.Route(hostOf(r.Host), rawPath(r))
+	if route == nil {
+		return nil, n.refuse(call.NotRun, call.ReasonNoRoute, 0)
+	}
+	profile := current.Profile(route.Profile)
+	req, err := n.readRequest(w, r, pickShare(route.Shares, rand.Uint64()), profile)
+	if err != nil {
+		n.log.Emit(observe.BadRequest, observe.Err(err))
+		return nil, n.refuse(call.NotRun, call.ReasonBadRequest, 0)
+	}
+	n.strip(req.header)
+	req.idempotent = !profile.Unrepeatable
+	timeout := time.Duration(profile.Deadline)
+	if told.Timeout > 0 {
+		timeout = min(timeout, told.Timeout)
+	}
+	req.deadline = n.now().Add(timeout)
+	req.call = call.Context{
+		RequestID: told.ID,
+		Profile:   profile.Name,
+		Timeout:   timeout,
+		Credit:    profile.Credit,
+		Host:      r.Host,
+		Origin:    n.settings.Service,
+	}
+	if n.fromUpstream(r) {
+		// The request that the upstream makes this call for has work done.
+		req.call.Depth = 1
+		req.call.Progress = 1
+	}
+	req.call.Level = n.rank(r, req)
+	req.span = n.startSpan(r.Header)
+	return req, nil
+}
+
+// noConfigRetry is the Retry-After of a node without a configuration: it gets
+// one within a round trip to the platform or a peer.
+const noConfigRetry = 250 * time.Millisecond
+
+// fromUpstream tells whether the upstream on this VM made the call. It shares
+// the VM's address; callers come from others.
+func (n *Node) fromUpstream(r *http.Request) bool {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	return err == nil && host == n.host
+}
+
+// hostOf drops the port from a Host header.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// rawPath is the path as it came, without its query.
+func rawPath(r *http.Request) string {
+	if r.URL.RawPath != "" {
+		return r.URL.RawPath
+	}
+	return r.URL.Path
+}
+
+// pickShare draws one of the services of a route, each with the probability of
+// its weight. What a service refuses is not moved to another: its share would
+// then not be the one that the operator set.
+func pickShare(shares []config.Share, random uint64) string {
+	if len(shares) == 1 {
+		return shares[0].Service
+	}
+	total := uint64(0)
+	for _, s := range shares {
+		total += uint64(s.Weight)
+	}
+	left := random % total
+	for _, s := range shares {
+		if left < uint64(s.Weight) {
+			return s.Service
+		}
+		left -= uint64(s.Weight)
+	}
+	return shares[0].Service
+}
+
+// maxHeldAnswer is the longest answer that the node beside the upstream holds
+// until it is whole. A longer one is streamed.
+const maxHeldAnswer = 128 << 10
+
+// heldBody reads an answer of the upstream to its end before its head is sent
+// on. An upstream that breaks off midway then costs the caller another attempt
+// at most, never half an answer, and a slow caller does not hold its slot.
+func heldBody(resp *http.Response) ([]byte, bool, error) {
+	if resp.ContentLength < 0 || resp.ContentLength > maxHeldAnswer {
+		return nil, false, nil
+	}
+	body := make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		return nil, false, &TruncatedError{Cause: err}
+	}
+	// The end is read too, or the connection is not used again.
+	if _, err := resp.Body.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return nil, false, &TruncatedError{Cause: err}
+	}
+	return body, true, nil
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -79,6 +79,14 @@
 	// TLS secures the connections between nodes.
 	TLS TLSSettings
 
+	// Dialect is how callers and the upstream speak. Nil is this project's own
+	// interface, with its edge listener; with a Dialect all requests come in
+	// at Outbound, and Edge may be empty.
+	Dialect Dialect
+	// ConfigKind and ConfigName are the object that holds the configuration in
+	// the form that Dialect reads. Empty is this project's own object.
+	ConfigKind, ConfigName string
+
 	// Store replaces the HTTP client of the platform (embedding, tests).
 	Store objects.Store
 	// Network replaces TCP (tests). TLS goes on top of it.
@@ -173,7 +181,9 @@
 	c.name("service", s.Service)
 	c.name("zone", s.Zone)
 	c.name("region", s.Region)
-	c.address("edge", s.Edge)
+	if s.Dialect == nil || s.Edge != "" {
+		c.address("edge", s.Edge)
+	}
 	c.address("peer", s.Peer)
 	c.address("outbound", s.Outbound)
 	c.address("gossip", s.Gossip)
--- a/node/sync.go
+++ b/node/sync.go
@@ -120,7 +120,8 @@
 func (n *Node) fetchConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTime)
 	defer cancel()
-	o, err := n.store.Get(ctx, configKind, config.ObjectName)
+	kind, name := n.configObject()
+	o, err := n.store.Get(ctx, kind, name)
 	var empty *objects.NotFoundError
 	if errors.As(err, &empty) {
 		return // nothing stored: the default is what operators chose
@@ -134,9 +135,10 @@
 
 func (n *Node) startWatch(ctx context.Context) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
+	kind, _ := n.configObject()
 	watcher := &objects.Watcher{
 		Store:   n.store,
-		Kind:    configKind,
+		Kind:    kind,
 		Handle:  func(e objects.Event) { n.takeConfig(e.Object) },
 		Backoff: objects.Backoff{Max: config.DefaultFollowBackoff},
 	}
@@ -146,12 +148,34 @@
 
 // takeConfig takes the configuration's object, and no other of its kind.
 func (n *Node) takeConfig(o objects.Object) {
-	if o.Name != config.ObjectName || len(o.Value) == 0 {
+	if _, name := n.configObject(); o.Name != name || len(o.Value) == 0 {
+		return
+	}
+	if n.spoken() {
+		n.takeSpokenConfig(o)
 		return
 	}
 	n.noteOffer(n.config.OfferObject(o))
 }
 
+// configObject names the object that holds the configuration.
+func (n *Node) configObject() (kind, name string) {
+	if n.settings.ConfigKind == "" {
+		return configKind, config.ObjectName
+	}
+	return n.settings.ConfigKind, n.settings.ConfigName
+}
+
+// takeSpokenConfig takes a configuration in the form of the dialect.
+func (n *Node) takeSpokenConfig(o objects.Object) {
+	set, err := n.settings.Dialect.DecodeConfig(o.Value)
+	if err != nil {
+		n.noteOffer(false, err)
+		return
+	}
+	n.noteOffer(n.config.OfferSet(set, config.SourcePlatform))
+}
+
 // watchesPlatform tells whether this node is among the first of its zone, in
 // an order that does not change as members come and go.
 func (n *Node) watchesPlatform() bool {
--- a/observe/events.go
+++ b/observe/events.go
@@ -15,6 +15,7 @@
 	EventsLeftOut     = event(1011, "events-left-out", Warn, "Repeats of an event were not logged because they came too fast.", "Read the metric that counts the same thing; the log is not complete.")
 	NodeFailed        = event(1012, "node-failed", Error, "A part of the node has failed and the process ends.", "Read the error; start the node again.")
 	UpstreamChanged   = event(1013, "upstream-changed", Info, "The upstream announced another address or number of slots.", noAction)
+	AnnouncementStale = event(1015, "announcement-stale", Info, "An announcement of the upstream came after a newer one and was left out.", noAction)
 	TraceExportFailed = event(1014, "trace-export-failed", Warn, "Spans could not be sent to the collector.", "See whether the collector is up; calls are not affected.")
 )
 
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -132,7 +132,7 @@
 		call.ReasonVisitClosed, call.ReasonKeyExpired, call.ReasonKeyRequired,
 		call.ReasonKeyHomeGone, call.ReasonKeyUnclaimed, call.ReasonKeyReused,
 		call.ReasonAnswerNotHeld, call.ReasonBadRequest,
-		call.ReasonTooLarge, call.ReasonNoTarget:
+		call.ReasonTooLarge, call.ReasonNoTarget, call.ReasonNoConfig, call.ReasonNoRoute:
 		return true
 	}
 	return false
--- a/routing/target.go
+++ b/routing/target.go
@@ -62,7 +62,7 @@
 func (f Feedback) verdict() verdict {
 	switch f.Reason {
 	case call.ReasonConnect, call.ReasonLost, call.ReasonTimeout,
-		call.ReasonTruncated, call.ReasonNoUpstream:
+		call.ReasonTruncated, call.ReasonNotBelieved, call.ReasonNoUpstream, call.ReasonOtherInstance:
 		if f.Deeper {
 			return verdictNeutral
 		}
