node: announcements don't cancel the end of a process; SIGHUP reloads

SIGHUP ended the process (exit 129). Change: an ending process drains whatever its upstream announces, serves its callers until they have heard (2.5 s) and refuses after 3 s; settings are read again at SIGHUP and after a silent change.

--- a/cmd/pollengauge/internal/cli/sidecar.go
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -20,11 +20,10 @@
 platform's; its path is in ` + platform.SettingsVariable + `. Numbered events go to stdout.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := platform.LoadSettings(path)
-			if err != nil {
-				return err
-			}
 			if checkOnly {
+				if _, err := platform.LoadSettings(path); err != nil {
+					return err
+				}
 				out := &printer{w: cmd.OutOrStdout()}
 				out.text("settings are usable\n")
 				return out.result()
@@ -33,7 +32,7 @@
 			if err != nil {
 				return err
 			}
-			return platform.Run(cmd.Context(), settings, log)
+			return platform.Run(cmd.Context(), path, log)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file")
--- a/node/drain.go
+++ b/node/drain.go
@@ -40,10 +40,6 @@
 	n.refreshTargets()
 }
 
-// Ready tells whether callers may use this node: it knows a configuration and
-// does not end.
-func (n *Node) Ready() bool { return n.config.Status().Heard && !n.ending.Load() }
-
 // drainNews is the time in which the news of a drain spreads. Refusing at once
 // would cost each request that is on its way an attempt, and those without
 // credit or budget would fail for nothing.
@@ -65,6 +61,9 @@
 	defer cancel()
 	n.ending.Store(true)
 	n.SetDraining(true)
+	if n.spoken() {
+		return n.end(ctx)
+	}
 	if n.settings.Ablate.NoDrainWait {
 		n.Close()
 		return nil
--- /dev/null
+++ b/node/ending.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"pollengauge.dev/observe"
+)
+
+// How the process ends where callers on this VM send their requests here. They
+// learn that it isn't ready by asking, so they go on for a while.
+const (
+	// endLinger is the least time from the begin of an end to its close.
+	// Callers ask once a second and leave after two answers that say no; a
+	// listener that closes sooner breaks requests that are on their way.
+	endLinger = 2500 * time.Millisecond
+	// endAccept is how long new requests are still taken: as long as callers
+	// may not have heard. What comes later is refused with not-run, so that the
+	// rest of the time is left to the requests that run.
+	endAccept = 3 * time.Second
+	// endLeave bounds the farewell to the other members.
+	endLeave = 200 * time.Millisecond
+)
+
+// Ready tells whether callers may use this node: it knows a configuration and
+// does not end.
+func (n *Node) Ready() bool { return n.config.Status().Heard && !n.ending.Load() }
+
+// end drains a node whose callers speak a dialect. The upstream goes on beside
+// it, so the others get no share of its work for longer than the news takes;
+// what was taken is brought to its end.
+func (n *Node) end(ctx context.Context) error {
+	began := n.now()
+	linger := time.NewTimer(endLinger)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	pause(ctx, endAccept-n.now().Sub(began))
+	n.closed.Store(true)
+	err := n.awaitActive(ctx)
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), endLeave)
+	defer cancel()
+	if left := n.gossip.Leave(leaving); left != nil {
+		n.log.Emit(observe.LeaveUnheard, observe.Err(left))
+	}
+	if shutdown := n.shutdownServers(leaving); err == nil && shutdown != nil && !errors.Is(shutdown, context.DeadlineExceeded) {
+		err = &DrainError{InFlight: int(n.active.Load())}
+	}
+	n.Close()
+	return err
+}
+
+// awaitActive waits until no request of any kind is in this node.
+func (n *Node) awaitActive(ctx context.Context) error {
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	for n.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			inFlight := int(n.active.Load())
+			n.log.Emit(observe.DrainTimeout, observe.Int("in_flight", inFlight))
+			return &DrainError{InFlight: inFlight}
+		case <-tick.C:
+		}
+	}
+	n.log.Emit(observe.Drained)
+	return nil
+}
+
+// retireConn has a caller's connection closed with the answer once the process
+// ends. A caller that sends its next request on a connection that is just
+// being closed can't tell whether the request was read.
+func (n *Node) retireConn(h http.Header) {
+	if n.ending.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,8 @@
 	draining  atomic.Bool
 	// ending is set once the process is to end.
 	ending atomic.Bool
+	// closed is set once it takes no requests any more.
+	closed atomic.Bool
 	// ownSlots are those of the upstream here; joined tells that the others
 	// may know of them.
 	ownSlots  atomic.Int64
--- a/node/routed.go
+++ b/node/routed.go
@@ -19,6 +19,7 @@
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request) {
 	n.active.Add(1)
 	defer n.active.Add(-1)
+	n.retireConn(w.Header())
 	req, refused := n.routedRequest(w, r)
 	if refused != nil {
 		n.writeRefused(w, refused, r)
@@ -43,6 +44,9 @@
 
 // routedRequest reads a request and finds its route, or returns the refusal.
 func (n *Node) routedRequest(w http.ResponseWriter, r *http.Request) (*request, *answer) {
+	if n.closed.Load() {
+		return nil, n.refuse(call.NotRun, call.ReasonDraining, endRetry)
+	}
 	if !n.config.Status().Heard {
 		// A node that knows no configuration can't say that a route isn't there.
 		return nil, n.refuse(call.NotRun, call.ReasonNoConfig, noConfigRetry)
@@ -92,6 +96,10 @@
 // one within a round trip to the platform or a peer.
 const noConfigRetry = 250 * time.Millisecond
 
+// endRetry is the Retry-After of a node that ends: its callers are on another
+// one by then.
+const endRetry = 50 * time.Millisecond
+
 // fromUpstream tells whether the upstream on this VM made the call. It shares
 // the VM's address; callers come from others.
 func (n *Node) fromUpstream(r *http.Request) bool {
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -87,7 +87,7 @@
 		return nil
 	}
 	n.putUpstream(a)
-	if a.Instance != "" {
+	if a.Instance != "" && !n.ending.Load() {
 		n.SetDraining(a.Draining)
 	}
 	return nil
