admission, node: shed where a request begins, by the pressure of what it needs

Change: the gate beside an upstream with exact slots tells its pressure, the share of requests that should not begin; answers carry it up, a call belongs to the run that made it (by the lineage of ids, else by a learnt call graph), and roots refuse the least important requests before any work. Calls rank as the request that needs them. Of full targets the shorter queue is taken. Hints when to come back stay within the target. Decisions are logged, bounded.

--- a/admission/config.go
+++ b/admission/config.go
@@ -63,6 +63,12 @@
 	// and limited, so that a slow deep service does not lower the limits
 	// above it. Off, a blocked visit counts as an active one.
 	DepthAware bool
+	// SlotShare, if above 0, sets the limit to that share of the slots, and
+	// nothing is learnt or refused by level: for an upstream that announces
+	// exactly how many calls it runs at once and gets every call through this
+	// gate. Then roots refuse by Pressure. Less than 1 spares upstreams that
+	// become slow when nearly full, at the cost of the slots left out.
+	SlotShare float64
 	// Clock replaces time.Now; nil means time.Now.
 	Clock func() time.Time
 }
@@ -81,6 +87,9 @@
 	if c.Preference < 0 || c.Preference > 1 || c.Preference != c.Preference {
 		return c, &ConfigError{Field: "Preference", Value: strconv.FormatFloat(c.Preference, 'g', -1, 64), Want: "0 to 1"}
 	}
+	if !(c.SlotShare >= 0 && c.SlotShare <= 1) {
+		return c, &ConfigError{Field: "SlotShare", Value: strconv.FormatFloat(c.SlotShare, 'g', -1, 64), Want: "0 to 1"}
+	}
 	if c.QueueLimit > maxSlots {
 		return c, intError("QueueLimit", c.QueueLimit, "at most "+strconv.Itoa(maxSlots))
 	}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -58,17 +58,20 @@
 	load      atomic.Int32
 	// loadUntil is when load is to be computed anew.
 	loadUntil atomic.Int64
-	profiles  atomic.Pointer[map[string]*profileStats]
-	_         [cacheLine]byte
+	// pressed is the pressure in thousandths.
+	pressed  atomic.Int32
+	profiles atomic.Pointer[map[string]*profileStats]
+	_        [cacheLine]byte
 
 	shards [shardCount]statShard
 
-	mu      sync.Mutex
-	queue   queue
-	waiters []*waiter
-	window  windowState
-	limiter *limiter
-	leveler *leveler
+	mu       sync.Mutex
+	queue    queue
+	waiters  []*waiter
+	window   windowState
+	pressing pressingState
+	limiter  *limiter
+	leveler  *leveler
 }
 
 // NewGate returns a gate, or a *ConfigError.
@@ -121,6 +124,7 @@
 		return call.ReasonDraining
 	}
 	shard.arrivals[r.Level].Add(1)
+	p.arrived.Add(1)
 	if uint32(r.Level) < g.admitLevel(r) {
 		return call.ReasonLevel
 	}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -65,6 +65,9 @@
 	rampStart time.Duration
 	limit     float64
 
+	// share is Config.SlotShare.
+	share float64
+
 	hint      float64
 	hintUntil time.Duration
 
@@ -75,7 +78,7 @@
 }
 
 func newLimiter(c Config) *limiter {
-	return &limiter{slots: c.Slots, minLimit: c.MinLimit, initial: c.InitialLimit, ramp: c.RampTime, limit: float64(c.InitialLimit)}
+	return &limiter{share: c.SlotShare, slots: c.Slots, minLimit: c.MinLimit, initial: c.InitialLimit, ramp: c.RampTime, limit: float64(c.InitialLimit)}
 }
 
 // ceiling is what the ramp allows now.
@@ -92,6 +95,9 @@
 // effective is the limit in force: measured, under the ramp, lowered by a
 // fresh hint.
 func (l *limiter) effective(now time.Duration) int {
+	if l.share > 0 {
+		return min(max(int(l.share*float64(l.slots)), 1), max(l.slots, 1))
+	}
 	limit := math.Min(l.limit, l.ceiling(now))
 	// A report that lags or lies must not starve the upstream, and must not
 	// raise the limit above what was measured. So a hint only lowers, by half
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -60,7 +60,9 @@
 	lists [classes]waitList
 	// occupied has a bit for each class with a waiter.
 	occupied [classes / wordBits]uint64
-	// inGroup counts waiters for the estimate of the wait.
+	// inClass counts the waiters of each class, and inGroup those of each group,
+	// for the estimate of the wait.
+	inClass [classes]uint16
 	inGroup [groups]int
 }
 
@@ -94,6 +96,7 @@
 	w.queued = true
 	q.occupied[w.class/wordBits] |= 1 << (w.class % wordBits)
 	q.inGroup[w.class.group()]++
+	q.inClass[w.class]++
 	q.size++
 }
 
@@ -115,6 +118,7 @@
 		q.occupied[w.class/wordBits] &^= 1 << (w.class % wordBits)
 	}
 	q.inGroup[w.class.group()]--
+	q.inClass[w.class]--
 	q.size--
 }
 
@@ -144,13 +148,15 @@
 	return nil
 }
 
-// ahead counts the waiters that go before a newcomer of class c, tie-breaks
-// aside.
+// ahead counts the waiters that go before a newcomer of class c.
 func (q *queue) ahead(c class) int {
 	n := 0
 	for i := c.group() + 1; i < groups; i++ {
 		n += q.inGroup[i]
 	}
+	for i := c; i.group() == c.group() && int(i) < classes; i++ {
+		n += int(q.inClass[i])
+	}
 	return n
 }
 
--- a/admission/state.go
+++ b/admission/state.go
@@ -12,6 +12,13 @@
 	return call.Level(g.level.Load())
 }
 
+// Pressure is the share of the requests leading here that should not begin, in
+// thousandths.
+func (g *Gate) Pressure() int {
+	g.tickIfDue(g.now())
+	return int(g.pressed.Load())
+}
+
 // loadLife is how long a computed load is given out. Every answer reports it,
 // and to compute it reads what all processors write.
 const loadLife = time.Millisecond
@@ -30,7 +37,6 @@
 }
 
 func (g *Gate) currentLoad() int {
-	const thousand = 1000
 	queued := g.queued()
 	active, inflight := g.counts()
 	byLimit := (active + queued) * thousand / max(int(g.limit.Load()), 1)
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -61,6 +61,12 @@
 	// baseline is the slow-moving self time without strain, in nanoseconds.
 	// The gate's lock guards it.
 	baseline float64
+	// mean is the moving mean of the whole service time, in nanoseconds, and
+	// counted the arrivals up to the last look. The gate's lock guards both.
+	mean    float64
+	counted uint64
+	// arrived counts all arrivals, refused ones included.
+	arrived atomic.Uint64
 	// service is a low estimate of the whole service time, in nanoseconds.
 	service atomic.Int64
 }
@@ -119,6 +125,23 @@
 	p.service.Store(int64(mean))
 }
 
+// learnMean moves the mean towards that of a window.
+func (p *profileStats) learnMean(window float64) {
+	if p.mean == 0 {
+		p.mean = window
+	}
+	p.mean += meanWeight * (window - p.mean)
+}
+
+// offered is the service time, in seconds, that has arrived since the last
+// look. The gate's lock is held.
+func (p *profileStats) offered() float64 {
+	arrived := p.arrived.Load()
+	fresh := arrived - p.counted
+	p.counted = arrived
+	return float64(fresh) * p.mean / float64(time.Second)
+}
+
 func (p *profileStats) decayService() {
 	p.service.Store(int64(serviceIdleDecay * float64(p.service.Load())))
 }
--- a/admission/window.go
+++ b/admission/window.go
@@ -30,6 +30,17 @@
 	spacing float64
 }
 
+// pressingState is what the lock guards of the pressure.
+type pressingState struct {
+	value pressure
+	since time.Duration
+	// The rest is of the window under way.
+	waitSum            time.Duration
+	waitCount, refused int
+}
+
+const thousand = 1000
+
 // meanWeight is the weight of a window in the means over all profiles.
 const meanWeight = 0.3
 
@@ -59,9 +70,12 @@
 	g.limiter.update(m, now)
 	g.limit.Store(int32(g.limiter.effective(now)))
 	g.learnCapacity()
-	g.leveler.update(g.demand(elapsed, now))
-	g.level.Store(uint32(g.leveler.level))
-	g.inherited.Store(uint32(g.leveler.inheritedLevel()))
+	if g.config.SlotShare == 0 {
+		g.leveler.update(g.demand(elapsed, now))
+		g.level.Store(uint32(g.leveler.level))
+		g.inherited.Store(uint32(g.leveler.inheritedLevel()))
+	}
+	g.updatePressure(now)
 	w.start = now
 	w.waitSum, w.waitCount, w.queueRefused, w.limited = 0, 0, 0, false
 	w.preferenceSum, w.preferenceCount = 0, 0
@@ -70,6 +84,30 @@
 	}
 }
 
+// updatePressure folds the window into the pressure. The lock is held.
+func (g *Gate) updatePressure(now time.Duration) {
+	w, p := &g.window, &g.pressing
+	p.waitSum += w.waitSum
+	p.waitCount += w.waitCount
+	p.refused += w.queueRefused
+	elapsed := now - p.since
+	if elapsed < pressureWindow {
+		return
+	}
+	p.since = now
+	load := pressureLoad{refused: p.refused}
+	for _, profile := range *g.profiles.Load() {
+		load.offered += profile.offered()
+	}
+	load.offered /= elapsed.Seconds() * float64(max(int(g.limit.Load()), 1))
+	if p.waitCount > 0 {
+		load.meanWait = p.waitSum / time.Duration(p.waitCount)
+	}
+	p.value.update(load)
+	p.waitSum, p.waitCount, p.refused = 0, 0, 0
+	g.pressed.Store(int32(p.value.value * thousand))
+}
+
 // measure collects what the limiter needs.
 func (g *Gate) measure(elapsed time.Duration) measurement {
 	w := &g.window
@@ -90,6 +128,7 @@
 		}
 		n, s, all := p.take()
 		p.learnService(all / time.Duration(n))
+		p.learnMean(float64(all) / float64(n))
 		w.samples = append(w.samples, sample{profile: p, count: n, self: s})
 		count += n
 		self += s
--- a/call/context.go
+++ b/call/context.go
@@ -59,6 +59,9 @@
 	// HeaderRetryAfterMs is Retry-After in milliseconds, for clients that can
 	// use a finer figure than the published whole seconds.
 	HeaderRetryAfterMs = "Pollengauge-Retry-After-Ms"
+	// HeaderPressure is the share of the requests leading to the answering hop,
+	// or further down, that should not begin, in thousandths.
+	HeaderPressure = "Pollengauge-Pressure"
 	// HeaderStale is the age in seconds of a stored answer given in place of
 	// a fresh one (brownout).
 	HeaderStale = "Pollengauge-Stale"
@@ -69,7 +72,7 @@
 var NodeHeaders = []string{
 	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
-	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderStale,
+	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderStale,
 }
 
 // PropagatedHeaders are what an upstream copies onto its own calls.
@@ -100,6 +103,8 @@
 	maxDigits = 7
 	// maxLoad is the highest load in a Report, a hundred times the limit.
 	maxLoad = 100_000
+	// maxPressure is the whole, in thousandths.
+	maxPressure = 1000
 )
 
 // Context is what one call carries down the chain.
@@ -207,6 +212,9 @@
 	// Load is in thousandths of the answering node's limit; Inject writes at
 	// most a hundred times the limit.
 	Load int
+	// Pressure is the share of the requests leading here that should not begin,
+	// in thousandths.
+	Pressure int
 }
 
 // Inject writes r to the headers of an answer.
@@ -221,6 +229,9 @@
 	h.Set(HeaderWorst, strconv.Itoa(int(r.Worst)))
 	h.Set(HeaderCreditLeft, strconv.Itoa(r.CreditLeft))
 	h.Set(HeaderLoad, strconv.Itoa(min(r.Load, maxLoad)))
+	if r.Pressure > 0 {
+		h.Set(HeaderPressure, strconv.Itoa(min(r.Pressure, maxPressure)))
+	}
 }
 
 // ExtractReport reads the report of a peer's answer. On an error the report
@@ -241,6 +252,9 @@
 	if r.Load, err = number(h, HeaderLoad, maxLoad); err != nil {
 		return Report{}, err
 	}
+	if r.Pressure, err = optionalNumber(h, HeaderPressure, maxPressure); err != nil {
+		return Report{}, err
+	}
 	if reason := h.Get(HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
--- a/cmd/pollengauge/internal/cli/sidecar.go
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -9,6 +10,9 @@
 	"pollengauge.dev/platform"
 )
 
+// logPatience is how long an ending process waits for its log's reader.
+const logPatience = 200 * time.Millisecond
+
 func newSidecarCommand() *cobra.Command {
 	path := ""
 	checkOnly := false
@@ -28,7 +32,9 @@
 				out.text("settings are usable\n")
 				return out.result()
 			}
-			log, err := observe.NewLogger(observe.LoggerConfig{Output: cmd.OutOrStdout(), Format: observe.Logfmt})
+			lines := observe.NewLineWriter(cmd.OutOrStdout(), 0, 0)
+			defer lines.Close(logPatience)
+			log, err := observe.NewLogger(observe.LoggerConfig{Output: lines, Format: observe.Logfmt})
 			if err != nil {
 				return err
 			}
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -16,6 +16,10 @@
 type Dialect interface {
 	// ReadCaller reads what a caller tells of its request.
 	ReadCaller(h http.Header) (CallerRequest, error)
+	// ParentOf returns the id of the request that a call with this id is made
+	// for, "" where the id does not tell. It is a hint: a call whose parent
+	// isn't found is treated by its own route.
+	ParentOf(id string) string
 	// WriteUpstream writes what the upstream is told of a request.
 	WriteUpstream(h http.Header, u UpstreamRequest)
 	// ReadUpstream judges the head of the upstream's answer to u.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -146,6 +146,7 @@
 	hop.Outcome = a.report.Outcome
 	hop.Reason = a.report.Reason
 	hop.LevelBelow = a.report.Worst
+	hop.Pressure = a.report.Pressure
 	hop.Took = took
 	hop.Target = targetName(req.service, a.target)
 	hop.Attempt = attempt
--- a/node/edge.go
+++ b/node/edge.go
@@ -36,8 +36,8 @@
 	n.serveRoot(w, r, req)
 }
 
-// serveRoot runs a root request and writes its answer.
-func (n *Node) serveRoot(w http.ResponseWriter, r *http.Request, req *request) {
+// serveRoot runs a root request, writes its answer and returns the report.
+func (n *Node) serveRoot(w http.ResponseWriter, r *http.Request, req *request) call.Report {
 	start := n.now()
 	n.noteRepeat(req)
 	a := n.runRoot(r.Context(), req)
@@ -52,6 +52,7 @@
 	if err := writeAnswer(w, a); err != nil {
 		n.abort(req, err)
 	}
+	return a.report
 }
 
 // runRoot decides about a root request: its key first, since a replay costs
@@ -95,6 +96,9 @@
 // refuseBelow refuses what a deeper hop would refuse, judged by the admission
 // levels that recent answers brought back. It returns nil to admit.
 func (n *Node) refuseBelow(req *request) *answer {
+	if n.spoken() {
+		return n.refusePressed(req)
+	}
 	ok, inForce := n.feedback.Admit(req.call.Profile, req.call.Level, n.now())
 	if ok || n.settings.Ablate.NoFeedback {
 		return nil
@@ -111,6 +115,7 @@
 	n.metrics.Profile(req.call.Profile).Granted.Inc(int64(req.call.Credit))
 	a := n.dispatch(ctx, req, credit)
 	n.feedback.Observe(req.call.Profile, a.report.Worst, n.now())
+	n.heardPressure(req, a)
 	a.report.CreditLeft = credit.Left()
 	return a
 }
@@ -256,6 +261,7 @@
 	hop.Outcome = a.report.Outcome
 	hop.Reason = a.report.Reason
 	hop.LevelBelow = a.report.Worst
+	hop.Pressure = a.report.Pressure
 	hop.Took = n.now().Sub(start)
 	hop.Target = req.service
 	hop.CreditLeft = a.report.CreditLeft
--- a/node/local.go
+++ b/node/local.go
@@ -76,10 +76,15 @@
 	}
 	visitCtx, cancel := context.WithDeadline(ctx, req.deadline)
 	v.ctx = visitCtx
-	if !n.spoken() {
+	if n.spoken() {
+		n.visits.addAs(v, req.call.RequestID)
+	} else {
 		n.visits.add(v)
 		v.children = atmostonce.NewVisit(cmp.Or(req.key, v.id))
 	}
+	if n.spoken() {
+		n.graph.Begin(req.call.Profile, v.started)
+	}
 	done := &localCall{node: n, visit: v, cancel: cancel, request: req, arrived: arrived, started: n.now()}
 	return done.run(up)
 }
@@ -305,15 +310,16 @@
 	}
 	l.finished = true
 	l.visit.close()
-	if l.visit.id != "" {
-		l.node.visits.remove(l.visit)
-	}
+	l.node.visits.remove(l.visit)
 	l.cancel()
 	waited := l.visit.ticket.Waited()
 	profile := l.node.metrics.Profile(l.request.call.Profile)
 	profile.Inbound.Inc(1)
 	profile.QueueWait.Observe(waited)
 	l.visit.ticket.Release(result)
+	if l.node.spoken() {
+		l.node.graph.End(l.request.call.Profile, l.node.now())
+	}
 	decision := observe.Admitted
 	if waited > 0 {
 		decision = observe.Delayed
@@ -391,6 +397,7 @@
 	hop.Limit = state.Limit
 	hop.Queue = state.Queued
 	hop.Blocked = state.Blocked
+	hop.Pressure = n.gate.Pressure()
 	n.metrics.Profile(req.call.Profile).Refused(refused.Reason)
 	if refused.Reason == call.ReasonQueueFull {
 		n.log.Emit(observe.QueueFull, observe.Str("profile", req.call.Profile), observe.Str("level", req.call.Level.String()))
@@ -400,6 +407,9 @@
 	a.report.Worst = max(refused.Level, n.gate.AdmitLevel())
 	a.report.CreditLeft = req.call.Credit
 	a.report.Load = n.gate.Load()
+	if n.spoken() {
+		a.report.Pressure = n.pressureOf(req.call.Profile)
+	}
 	return a
 }
 
@@ -408,6 +418,9 @@
 	r.Worst = max(n.gate.AdmitLevel(), v.worstBelow())
 	r.CreditLeft = v.creditLeft()
 	r.Load = n.gate.Load()
+	if n.spoken() {
+		r.Pressure = max(n.pressureOf(v.call.Profile), v.pressureBelow())
+	}
 }
 
 // lossReason names why a dispatched call has no answer.
--- a/node/node.go
+++ b/node/node.go
@@ -29,9 +29,7 @@
 type Node struct {
 	settings Settings
 	id       string
-	// host is the VM's address without a port.
-	host    string
-	network Network
+	network  Network
 	// between is the network to and from other nodes; tls is nil without TLS.
 	between Network
 	tls     *secure.Source
@@ -49,10 +47,16 @@
 	gate     *admission.Gate
 	feedback *admission.Feedback
 	ranker   *admission.Ranker
-	stored   *admission.Brownout
-	budget   atomic.Pointer[retry.Budget]
-	repeats  *retry.Repeats
-	offered  offered
+	// graph links runs of the upstream to its calls, shedder knows the
+	// pressure on the routes of callers, and below that on calls of the
+	// upstream. They are in use where a dialect is spoken.
+	graph   *admission.CallGraph
+	shedder *admission.Shedder
+	below   *admission.Shedder
+	stored  *admission.Brownout
+	budget  atomic.Pointer[retry.Budget]
+	repeats *retry.Repeats
+	offered offered
 	// unsettled are fates that no table holds any more.
 	unsettled unsettled
 	keys      *atmostonce.Table
@@ -114,7 +118,6 @@
 		changes:   newLevelChanges(),
 	}
 	n.configSince.Store(n.started.UnixNano())
-	n.host, _, _ = net.SplitHostPort(settings.Outbound)
 	n.id = string(atmostonce.NewIncarnation(rand.Reader))
 	n.visits = newVisits(n.id[:idPrefix] + ".")
 	for _, build := range []func() error{n.buildView, n.buildNetworks, n.buildPlatform, n.buildDecisions, n.buildKeys} {
@@ -131,6 +134,15 @@
 func (n *Node) buildDecisions() error {
 	s := n.settings
 	gateConfig := admission.Config{Slots: s.Slots, DepthAware: !s.Ablate.NoDepth}
+	if n.spoken() {
+		gateConfig.DepthAware = false // a dialect does not tell which run a call belongs to
+		gateConfig.SlotShare = slotShare
+		gateConfig.MaxQueueWait = maxQueueWait
+		gateConfig.QueueLimit = queueLimit
+	}
+	n.graph = admission.NewCallGraph()
+	n.shedder = admission.NewShedder()
+	n.below = admission.NewShedder()
 	if s.Ablate.NoAdmission {
 		gateConfig.MinLimit = s.Slots
 		gateConfig.InitialLimit = s.Slots
--- /dev/null
+++ b/node/pressed.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"time"
+
+	"pollengauge.dev/call"
+)
+
+// Bounds of the gate where a dialect is spoken.
+const (
+	// slotShare keeps some slots free: upstreams become slower when nearly
+	// full, and a new connection holds a slot for a moment.
+	slotShare = 0.95
+	// queueLimit only bounds memory: what would wait too long is refused as it
+	// comes.
+	queueLimit = 4096
+	// maxQueueWait lets the profile's own wait bound the queue.
+	maxQueueWait = 2 * time.Second
+)
+
+// refusePressed refuses a request of a caller that would meet an overloaded
+// upstream further down. It returns nil to admit. Calls of the upstream are
+// never refused here: their requests have work done.
+func (n *Node) refusePressed(req *request) *answer {
+	if req.call.Depth > 0 || n.settings.Ablate.NoFeedback {
+		return nil
+	}
+	ok, inForce := n.shedder.Admit(req.call.Profile, req.call.Level, n.now())
+	if ok {
+		return nil
+	}
+	a := n.refuse(call.NotRun, call.ReasonLevelBelow, 0)
+	a.report.Worst = inForce
+	return a
+}
+
+// heardPressure keeps the pressure that an answer brought.
+func (n *Node) heardPressure(req *request, a *answer) {
+	if !n.spoken() || a.target == "" {
+		return
+	}
+	told := float64(a.report.Pressure) / pressureUnit
+	if req.call.Depth > 0 {
+		n.below.Heard(req.call.Profile, told, n.now())
+		return
+	}
+	n.shedder.Heard(req.call.Profile, told, n.now())
+}
+
+const pressureUnit = 1000
+
+// pressureOf is the pressure on requests of a profile that lead to the upstream
+// here: its own, or that on the calls which their runs make, whichever is more.
+func (n *Node) pressureOf(profile string) int {
+	most := n.gate.Pressure()
+	now := n.now()
+	for _, called := range n.graph.Linked(profile) {
+		most = max(most, int(n.below.Pressure(called, now)*pressureUnit))
+	}
+	return most
+}
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -164,7 +164,10 @@
 func (n *Node) retryAfter(a *answer, req *request) time.Duration {
 	r := randoms.Get().(*rand.Rand)
 	defer randoms.Put(r)
+	base, limit := afterBounds(req)
 	return retry.After(retry.AfterInput{
+		Base:         base,
+		Max:          limit,
 		Level:        req.call.Level,
 		InForce:      a.report.Worst,
 		RefusedShare: n.refusedShare(req.call.Level.Priority()),
@@ -172,6 +175,23 @@
 	}, r)
 }
 
+// Shares of a profile's target that bound the hint when to come back.
+const (
+	afterBaseShare = 0.15
+	afterMaxShare  = 0.6
+)
+
+// afterBounds keeps a hint so short that an answer to the next try can still
+// come within the profile's target, which is when it is worth most to the
+// caller. Without a target the defaults hold.
+func afterBounds(req *request) (base, limit time.Duration) {
+	if req.profile == nil || req.profile.Target == 0 {
+		return 0, 0
+	}
+	target := float64(req.profile.Target)
+	return time.Duration(afterBaseShare * target), time.Duration(afterMaxShare * target)
+}
+
 // preference is what the request's profile prefers, goodput (0) for a call
 // that was refused before it had one, as that of a visit that is closed.
 func preference(req *request) float64 {
--- a/node/routed.go
+++ b/node/routed.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -25,7 +24,41 @@
 		n.writeRefused(w, refused, r)
 		return
 	}
-	n.serveRoot(w, r, req)
+	parent := n.parentOf(req)
+	if parent == nil {
+		n.serveRoot(w, r, req)
+		return
+	}
+	report := call.Report{Outcome: call.Unknown}
+	defer func() { parent.end(report) }()
+	ctx, cancel := mergeContext(r.Context(), parent.ctx, req.deadline)
+	defer cancel()
+	report = n.serveRoot(w, r.WithContext(ctx), req)
+}
+
+// parentOf finds the run that a call of the upstream is made for, and has the
+// call inherit from it: it ranks as the request that needs it, and can't
+// outlive it. It returns nil for a request of a caller, and for a call whose
+// run isn't known.
+func (n *Node) parentOf(req *request) *visit {
+	id := n.settings.Dialect.ParentOf(req.call.RequestID)
+	if id == "" {
+		return nil
+	}
+	req.call.Depth = 1
+	req.call.Progress = 1
+	n.graph.Called(req.call.Profile, n.now())
+	parent, ok := n.visits.find(id)
+	if !ok || !parent.begin() {
+		return nil
+	}
+	req.call.Depth = min(parent.call.Depth+1, call.MaxDepth)
+	req.call.Progress = max(parent.progress(), 1)
+	req.call.Level = parent.call.Level
+	if parent.deadline.Before(req.deadline) {
+		req.deadline = parent.deadline
+	}
+	return parent
 }
 
 // writeRefused answers a request that has no route or can't be read. Nothing
@@ -82,11 +115,6 @@
 		Host:      r.Host,
 		Origin:    n.settings.Service,
 	}
-	if n.fromUpstream(r) {
-		// The request that the upstream makes this call for has work done.
-		req.call.Depth = 1
-		req.call.Progress = 1
-	}
 	req.call.Level = n.rank(r, req)
 	req.span = n.startSpan(r.Header)
 	return req, nil
@@ -100,13 +128,6 @@
 // one by then.
 const endRetry = 50 * time.Millisecond
 
-// fromUpstream tells whether the upstream on this VM made the call. It shares
-// the VM's address; callers come from others.
-func (n *Node) fromUpstream(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == n.host
-}
-
 // hostOf drops the port from a Host header.
 func hostOf(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,6 +25,14 @@
 	return CallerRequest{ID: h.Get("X-Id"), Timeout: time.Duration(ms) * time.Millisecond}, nil
 }
 
+func (plainDialect) ParentOf(id string) string {
+	parent, _, found := strings.Cut(id, "/")
+	if !found {
+		return ""
+	}
+	return parent
+}
+
 func (plainDialect) WriteUpstream(h http.Header, u UpstreamRequest) {
 	h.Set("X-Timeout", strconv.FormatInt(u.Timeout.Milliseconds(), 10))
 	h.Set("X-Origin", u.Origin)
--- a/node/trace.go
+++ b/node/trace.go
@@ -55,5 +55,8 @@
 // record keeps a finished hop for explain and for the exporter.
 func (n *Node) record(h observe.Hop) {
 	n.ring.Add(h)
+	if n.spoken() {
+		n.log.Decide(&h, observe.DefaultDecisionSample)
+	}
 	n.export(h)
 }
--- a/node/visit.go
+++ b/node/visit.go
@@ -38,6 +38,8 @@
 	// done counts the calls below that ran or may have.
 	done  int
 	worst call.Level
+	// pressure is the highest that a call below told of.
+	pressure int
 }
 
 // begin opens a call below. It fails once the visit is closed: a call that an
@@ -59,6 +61,7 @@
 	defer v.mu.Unlock()
 	v.open--
 	v.worst = max(v.worst, r.Worst)
+	v.pressure = max(v.pressure, r.Pressure)
 	if r.Outcome != call.NotRun {
 		v.done++
 	}
@@ -95,6 +98,12 @@
 	return v.worst
 }
 
+func (v *visit) pressureBelow() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.pressure
+}
+
 const visitShards = 32
 
 // visits finds the open visits by id.
@@ -136,6 +145,17 @@
 	s.mu.Unlock()
 }
 
+// addAs registers v under the id of its request. Should the request run twice
+// here, the later run is found.
+func (vs *visits) addAs(v *visit, id string) {
+	v.id = id
+	v.orphans = vs.orphans.Load()
+	s := vs.shard(id)
+	s.mu.Lock()
+	s.byID[id] = v
+	s.mu.Unlock()
+}
+
 func (vs *visits) find(id string) (*visit, bool) {
 	s := vs.shard(id)
 	s.mu.Lock()
@@ -147,7 +167,9 @@
 func (vs *visits) remove(v *visit) {
 	s := vs.shard(v.id)
 	s.mu.Lock()
-	delete(s.byID, v.id)
+	if s.byID[v.id] == v {
+		delete(s.byID, v.id)
+	}
 	s.mu.Unlock()
 }
 
--- /dev/null
+++ b/observe/decision.go
@@ -0,0 +1,85 @@
+package observe
+
+import "hash/fnv"
+
+// DefaultDecisionSample is how many requests there are to one whose routine
+// decisions are logged.
+const DefaultDecisionSample = 64
+
+// Budgets of the lines that tell of decisions, in lines a second and node.
+// What is refused or lost is what an operator is asked about, so it has most.
+const (
+	routineLines = 20
+	refusalLines = 40
+	decisionMost = 5
+)
+
+// Decide logs the decision that a hop records. Routine ones are logged for one
+// request in sample, chosen by its id: each node keeps or leaves out the same
+// requests, so that a kept one is whole.
+func (l *Logger) Decide(h *Hop, sample uint32) {
+	e := decisionEvent(h)
+	routine := e.ID == DecisionAdmitted.ID || e.ID == DecisionDelayed.ID
+	if routine && !sampled(h.RequestID, sample) {
+		return
+	}
+	if !l.wants(e) {
+		return
+	}
+	l.write(e, l.events[e.ID], h.fields())
+}
+
+func decisionEvent(h *Hop) Event {
+	switch {
+	case h.Decision == Refused:
+		return DecisionRefused
+	case h.Outcome == 0:
+		return DecisionUnknown
+	case h.Decision == Delayed:
+		return DecisionDelayed
+	}
+	return DecisionAdmitted
+}
+
+func sampled(id string, sample uint32) bool {
+	if sample <= 1 {
+		return true
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id))
+	return hash.Sum32()%sample == 0
+}
+
+// fields are what decided, and the outcome. The version of the configuration
+// and the load are those at the time of the decision.
+func (h *Hop) fields() []Field {
+	fields := []Field{
+		Str("step", string(h.Kind)),
+		Str("request", h.RequestID),
+		Str("called", h.Service),
+		Str("profile", h.Profile),
+		Str("outcome", h.Outcome.String()),
+		Str("reason", string(h.Reason)),
+		Dur("waited", h.Waited),
+		Dur("took", h.Took),
+		Str("request_level", h.Level.String()),
+		Str("admit_level", h.AdmitLevel.String()),
+		Int("load", h.Load),
+		Int("pressure", h.Pressure),
+		Int("in_flight", h.InFlight),
+		Int64("config", int64(h.ConfigVersion)),
+	}
+	if h.Target != "" {
+		fields = append(fields, Str("target", h.Target), Int("attempt", h.Attempt))
+	}
+	if h.Ended != "" {
+		fields = append(fields, Str("ended", h.Ended))
+	}
+	if h.Limit > 0 {
+		fields = append(fields, Int("limit", h.Limit), Int("queue", h.Queue))
+	}
+	if h.Status > 0 {
+		fields = append(fields, Int("status", h.Status))
+	}
+	return fields
+}
--- a/observe/event.go
+++ b/observe/event.go
@@ -45,6 +45,9 @@
 	Meaning string
 	// Action is what an operator should do on seeing it.
 	Action string
+	// Rate and Burst bound the lines of this event where they are not those of
+	// the Logger, in lines a second and lines.
+	Rate, Burst float64
 }
 
 // catalogue holds every event in order of definition. It is written only
@@ -57,6 +60,13 @@
 	return e
 }
 
+// decision makes an event that has a budget of its own.
+func decision(id int, name string, severity Severity, rate float64, meaning, action string) Event {
+	e := Event{ID: id, Name: name, Level: severity, Meaning: meaning, Action: action, Rate: rate, Burst: rate * decisionMost}
+	catalogue = append(catalogue, e)
+	return e
+}
+
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
 	events := slices.Clone(catalogue)
@@ -80,5 +90,6 @@
 		{5000, "keys and fates"},
 		{6000, "platform"},
 		{7000, "edges and hostile input"},
+		{8000, "decisions about requests"},
 	}
 }
--- a/observe/events.go
+++ b/observe/events.go
@@ -99,3 +99,13 @@
 	TooManyConnections = event(7011, "too-many-connections", Warn, "A listener holds as many connections as it may; new ones wait.", "Find out who opens them, or raise the limit.")
 	VisitClosed        = event(7012, "visit-closed", Warn, "The upstream called out for a request that had already been answered.", "Make the upstream stop work when its request is cancelled.")
 )
+
+// Decisions about requests. Each line has the request's id, what decided and
+// the outcome.
+var (
+	DecisionAdmitted = decision(8001, "decision-admitted", Info, routineLines, "A step of a request ran at once. Logged for a sample of the requests, the same at each node.", noAction)
+	DecisionDelayed  = decision(8002, "decision-delayed", Info, routineLines, "A step of a request ran after a wait in the queue. Logged for the same sample.", noAction)
+	DecisionRefused  = decision(8003, "decision-refused", Info, refusalLines, "A step of a request was refused and did not run.", "Read the reason; pollengauge explain and docs/OPERATIONS.md tell what to do about each.")
+	DecisionUnknown  = decision(8004, "decision-unknown", Warn, refusalLines, "A step of a request was sent and has no known outcome.", "Follow the request's id to the node named as the target.")
+	LinesDropped     = event(8009, "lines-dropped", Warn, "The log's reader was too slow; so many lines were left out.", "See whether the reader stands still; the metrics are complete.")
+)
--- a/observe/hop.go
+++ b/observe/hop.go
@@ -96,6 +96,9 @@
 	// as seen by a refusal.
 	Blocked int `json:"blocked,omitempty"`
 	Queue   int `json:"queue"`
+	// Pressure is the share of the requests that should not begin, in
+	// thousandths, as the answer told it.
+	Pressure int `json:"pressure,omitempty"`
 	// Status is the HTTP status of the answer; 0 when there was none.
 	Status int `json:"status,omitempty"`
 	// ConfigVersion is that of the profile set in force on the node.
--- /dev/null
+++ b/observe/linewriter_test.go
@@ -0,0 +1,54 @@
+package observe
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A process logs to a pipe whose reader has stopped. No call that logs may
+// wait for it; once the reader goes on, it is told how many lines are missing.
+func TestLineWriterNeverWaitsForItsReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		reader, writer := io.Pipe()
+		w := NewLineWriter(writer, 1000, time.Millisecond)
+		began := time.Now()
+		for range 500 {
+			_, err := w.Write([]byte("a line of some twenty\n"))
+			c.Assert(err, qt.IsNil)
+			time.Sleep(time.Millisecond)
+		}
+		c.Check(time.Since(began), qt.Equals, 500*time.Millisecond)
+		c.Check(w.Dropped() > 400, qt.IsTrue, qt.Commentf("%d", w.Dropped()))
+		var out strings.Builder
+		var read sync.WaitGroup
+		read.Go(func() { _, _ = io.Copy(&out, reader) })
+		time.Sleep(time.Second)
+		w.Close(time.Second)
+		_ = writer.Close()
+		read.Wait()
+		c.Check(out.String(), qt.Contains, "name="+LinesDropped.Name+" count=")
+	})
+}
+
+// A reader that never comes back must not keep the process from ending.
+func TestLineWriterClosesWithoutItsReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		reader, writer := io.Pipe()
+		w := NewLineWriter(writer, 1000, time.Millisecond)
+		_, err := w.Write([]byte("line\n"))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		began := time.Now()
+		w.Close(200 * time.Millisecond)
+		c.Check(time.Since(began) <= 200*time.Millisecond, qt.IsTrue)
+		_ = reader.Close()
+	})
+}
--- a/observe/logger.go
+++ b/observe/logger.go
@@ -84,7 +84,11 @@
 	}
 	l := &Logger{kit: kit, level: config.Level, now: config.Now, events: make(map[int]*eventState)}
 	for _, e := range catalogue {
-		l.events[e.ID] = &eventState{limiter: rate.NewLimiter(rate.Limit(config.EventRate), config.EventBurst)}
+		limit, burst := config.EventRate, config.EventBurst
+		if e.Rate > 0 {
+			limit, burst = e.Rate, int(e.Burst)
+		}
+		l.events[e.ID] = &eventState{limiter: rate.NewLimiter(rate.Limit(limit), burst)}
 	}
 	return l, nil
 }
@@ -121,15 +125,23 @@
 // Emit writes one event. Lines over the event's rate are counted instead; the
 // next line that is written tells their number as left_out.
 func (l *Logger) Emit(e Event, fields ...Field) {
+	if l.wants(e) {
+		l.write(e, l.events[e.ID], fields)
+	}
+}
+
+// wants reports whether a line of e may be written now, and counts it as left
+// out if its rate is used up.
+func (l *Logger) wants(e Event) bool {
 	if e.Level < l.level {
-		return
+		return false
 	}
 	state := l.events[e.ID]
 	if state != nil && !state.limiter.AllowN(l.now(), 1) {
 		state.leftOut.Add(1)
-		return
+		return false
 	}
-	l.write(e, state, fields)
+	return true
 }
 
 func (l *Logger) write(e Event, state *eventState, fields []Field) {
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -43,6 +43,9 @@
 	switch {
 	case near != nil && (local == nil || c.pressure(near, true) < pressure):
 		return near, false
+	case near != nil && pressure == thousand && c.cheaper(local, near) == near:
+		// All are full: the shorter queue counts, wherever it is.
+		return near, false
 	case local != nil:
 		return local, false
 	}
