--- a/node/conn.go
+++ b/node/conn.go
@@ -18,9 +18,9 @@
 
 type tcpNetwork struct{ dialer *net.Dialer }
 
-// dialTimeout bounds one connect. Within a region it takes milliseconds, and a
-// lost first packet is sent again after one second.
-const dialTimeout = 1500 * time.Millisecond
+// dialTimeout bounds one connect. Within a region it takes milliseconds. A lost
+// first packet is sent again only after a second; another target is found sooner.
+const dialTimeout = 500 * time.Millisecond
 
 func newTCPNetwork() *tcpNetwork { return &tcpNetwork{dialer: livedial.Dialer(dialTimeout)} }
 
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -15,7 +15,9 @@
 	req    *request
 	credit *retry.Credit
 	tried  []string
-	worst  call.Level
+	// free counts the attempts that nothing was paid for.
+	free  int
+	worst call.Level
 	// mayHaveRun is set once an attempt ended unknown. A later attempt that is
 	// refused doesn't undo it: the whole is then unknown, never not-run.
 	mayHaveRun bool
@@ -26,7 +28,7 @@
 // or the visit's for a call that an upstream makes.
 func (n *Node) dispatch(ctx context.Context, req *request, credit *retry.Credit) *answer {
 	d := &dispatching{node: n, req: req, credit: credit}
-	n.budget.Load().OnFirst(n.now())
+	n.budgetOf(req.service).OnFirst(n.now())
 	for attempt := 1; ; attempt++ {
 		a := d.attempt(ctx, attempt)
 		if a.target == "" || !d.again(ctx, a) {
@@ -77,6 +79,10 @@
 	if d.node.settings.Ablate.CopiedCredit {
 		return d.credit.Available()
 	}
+	if d.node.spoken() {
+		// Calls don't share their request's credit, so none goes down.
+		return 0
+	}
 	return d.credit.Lend()
 }
 
@@ -108,11 +114,15 @@
 	if !d.req.body.rewind() || ctx.Err() != nil {
 		return false
 	}
-	verdict := retry.Claim(decision, d.credit, n.budget.Load(), now)
+	decision.Free = n.spoken()
+	decision.FreeMade = d.free
+	verdict := retry.Claim(decision, d.credit, n.budgetOf(d.req.service), now)
 	profile := n.metrics.Profile(d.req.call.Profile)
 	profile.Retry(string(verdict.Why))
 	a.ended = verdict.Why
 	switch {
+	case verdict.Free:
+		d.free++
 	case verdict.Retry:
 		profile.Spent.Inc(1)
 	case verdict.Why == retry.WhyBudget:
--- a/node/ending.go
+++ b/node/ending.go
@@ -71,11 +71,21 @@
 	return nil
 }
 
+// crowdedShare is the part of the connections at the outbound listener, in
+// percent, from which those that have just been answered are closed.
+const crowdedShare = 60
+
 // retireConn has a caller's connection closed with the answer once the process
 // ends. A caller that sends its next request on a connection that is just
 // being closed can't tell whether the request was read.
+//
+// It does the same while the listener is crowded. The failure: idle connections
+// of callers take all that the listener may hold, and new ones wait to be
+// accepted until their callers have left; their requests are passed on then.
 func (n *Node) retireConn(h http.Header) {
-	if n.ending.Load() {
+	const percent = 100
+	crowded := n.callerConns.Load() > int64(n.settings.EdgeConns)*crowdedShare/percent
+	if n.ending.Load() || crowded {
 		h.Set("Connection", "close")
 	}
 }
--- a/node/guard.go
+++ b/node/guard.go
@@ -94,7 +94,10 @@
 
 // countConns tells when a listener holds as many connections as it may.
 func (n *Node) countConns(listener Listener, limit int) func(net.Conn, http.ConnState) {
-	var open atomic.Int64
+	open := new(atomic.Int64)
+	if listener == OutboundListener {
+		open = &n.callerConns
+	}
 	return func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,8 @@
 	below   *admission.Shedder
 	stored  *admission.Brownout
 	budget  atomic.Pointer[retry.Budget]
+	// budgets has one for each service where a dialect is spoken.
+	budgets sync.Map
 	repeats *retry.Repeats
 	lag     lagMeter
 	offered offered
@@ -91,12 +93,14 @@
 	closed atomic.Bool
 	// ownSlots are those of the upstream here; joined tells that the others
 	// may know of them.
-	ownSlots  atomic.Int64
-	joined    atomic.Bool
-	started   time.Time
-	stop      context.CancelFunc
-	done      sync.WaitGroup
-	requestID atomic.Uint64
+	ownSlots atomic.Int64
+	joined   atomic.Bool
+	// callerConns are the connections at the outbound listener.
+	callerConns atomic.Int64
+	started     time.Time
+	stop        context.CancelFunc
+	done        sync.WaitGroup
+	requestID   atomic.Uint64
 	// configSince is when the configuration in force was accepted, in
 	// nanoseconds of the Unix epoch.
 	configSince atomic.Int64
--- a/node/settings.go
+++ b/node/settings.go
@@ -83,6 +83,10 @@
 	// interface, with its edge listener; with a Dialect all requests come in
 	// at Outbound, and Edge may be empty.
 	Dialect Dialect
+	// RetryRatio bounds the retries on each service where a Dialect is given,
+	// as a share of this node's first attempts; elsewhere the configuration
+	// gives it. 0 takes a tenth.
+	RetryRatio float64
 	// ConfigKind and ConfigName are the object that holds the configuration in
 	// the form that Dialect reads. Empty is this project's own object.
 	ConfigKind, ConfigName string
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -55,6 +55,11 @@
 	Service string
 	// Idempotent is true when running the call twice does no harm.
 	Idempotent bool
+	// Free tells that the attempt never got as far as an upstream, and that
+	// another one may be made without paying: no upstream has had any work from
+	// it. FreeMade is how many free ones there were already.
+	Free     bool
+	FreeMade int
 	// Credit is what the visit has left, Budget whether the node's budget has
 	// room. Claim fills both.
 	Credit int
@@ -73,7 +78,9 @@
 // Verdict is Decide's answer.
 type Verdict struct {
 	Retry bool
-	Why   Why
+	// Free tells that the retry is paid neither from credit nor from budget.
+	Free bool
+	Why  Why
 }
 
 // Decide says whether an attempt may be made again. It is pure. The order of
@@ -97,6 +104,8 @@
 		return Verdict{Why: WhyDeadline}
 	case in.TargetsLeft <= 0:
 		return Verdict{Why: WhyNoTarget}
+	case in.free():
+		return Verdict{Retry: true, Why: WhyRetry, Free: true}
 	case in.Credit <= 0:
 		return Verdict{Why: WhyNoCredit}
 	case !in.Budget:
@@ -111,7 +120,7 @@
 	in.Credit = credit.Available()
 	in.Budget = true
 	verdict := Decide(in)
-	if !verdict.Retry {
+	if !verdict.Retry || verdict.Free {
 		return verdict
 	}
 	if credit.Take(1) == 0 {
@@ -124,6 +133,26 @@
 	return verdict
 }
 
+// MaxFree bounds the free attempts of one call. One full target of three is
+// common, two are still likely to have a third with room; what is refused three
+// times is refused everywhere.
+const MaxFree = 2
+
+func (in Decision) free() bool {
+	return in.Free && in.Outcome == call.NotRun && in.FreeMade < MaxFree && BeforeUpstream(in.Reason)
+}
+
+// BeforeUpstream reports whether an attempt that ended not-run for this reason
+// ended before an upstream saw it.
+func BeforeUpstream(r call.Reason) bool {
+	switch r {
+	case call.ReasonConnect, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonLevel,
+		call.ReasonDraining, call.ReasonNoUpstream, call.ReasonBusy, call.ReasonNoConfig:
+		return true
+	}
+	return false
+}
+
 // hopeless reports whether the reason lies in the call itself, so that every
 // target would say the same.
 func hopeless(r call.Reason) bool {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -226,3 +226,29 @@
 	c.Check(latest(0.99, 1), qt.Equals, DefaultAfterMax)
 	c.Check(latest(0.5, math.NaN()), qt.Equals, 3*time.Second)
 }
+
+// A node refuses a call before its upstream sees it. Another target may be
+// tried although credit and budget are used up, since no upstream has had work
+// from it; but not for ever, not after the upstream had its say, and not where
+// all targets refuse.
+func TestRetriesBeforeAnyUpstreamAreFree(t *testing.T) {
+	c := qt.New(t)
+	base := Decision{
+		Outcome: call.NotRun, Reason: call.ReasonQueueWait, Hop: "filing", Service: "filing",
+		Free: true, DeadlineLeft: time.Second, TargetsLeft: 1,
+	}
+	c.Check(Decide(base), qt.Equals, Verdict{Retry: true, Free: true, Why: WhyRetry})
+	for want, change := range map[Why]func(*Decision){
+		WhyNoCredit:   func(in *Decision) { in.FreeMade = MaxFree },
+		WhyMayHaveRun: func(in *Decision) { in.Outcome = call.Unknown },
+		WhyOverload:   func(in *Decision) { in.Refusing = OverloadThousandths },
+		WhyNoTarget:   func(in *Decision) { in.TargetsLeft = 0 },
+	} {
+		in := base
+		change(&in)
+		c.Check(Decide(in), qt.Equals, Verdict{Why: want})
+	}
+	shed := base
+	shed.Reason = call.ReasonUpstreamShed
+	c.Check(Decide(shed), qt.Equals, Verdict{Why: WhyNoCredit})
+}
