docs, tests, cli: explaining a failed request; the platform's seam; routes

docs/OPERATIONS.md leads from a request's id to its cause for three kinds of failure, with lines of a run; trace-log collects them; a test plays each kind.

--- /dev/null
+++ b/admission/pressed_test.go
@@ -0,0 +1,154 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/call"
+)
+
+// chain is a deep upstream below many roots, in steps of one window. Each
+// request makes calls calls there after life windows, when it has passed the
+// upstreams above, and fails with the first one that is refused.
+type chain struct {
+	capacity float64 // calls that a window serves
+	calls    int
+	life     int // windows
+	p        pressure
+	pending  []float64 // calls due in the coming windows
+}
+
+// step lets offered requests arrive, of which the pressure of delay windows ago
+// holds some back, and returns the calls refused.
+func (ch *chain) step(offered float64) (begun, refused float64) {
+	if ch.pending == nil {
+		ch.pending = make([]float64, ch.life)
+	}
+	begun = offered * (1 - ch.p.value)
+	ch.pending[ch.life-1] += begun * float64(ch.calls)
+	due := ch.pending[0]
+	ch.pending = append(ch.pending[1:], 0)
+	refused = max(due-ch.capacity, 0)
+	ch.p.update(pressureLoad{offered: due / ch.capacity, refused: int(refused)})
+	return begun, refused
+}
+
+// A burst of 1.7 times what a deep upstream carries comes for eight seconds,
+// with eight calls a request. Without pressure four calls in ten are refused
+// and nearly no request ends well. With it the refusals end within a second,
+// the upstream stays busy, and a second after the burst all requests begin.
+func TestPressureHoldsADeepUpstreamAtItsCapacity(t *testing.T) {
+	c := qt.New(t)
+	const perSecond = int(time.Second / pressureWindow)
+	ch := &chain{capacity: 800, calls: 8, life: 4}
+	var begun, refused float64
+	for window := range 8 * perSecond {
+		b, r := ch.step(170)
+		if window >= 2*perSecond {
+			begun, refused = begun+b, refused+r
+		}
+	}
+	windows := float64(6 * perSecond)
+	c.Check(refused/(begun*8) < 0.01, qt.IsTrue, qt.Commentf("%.3f of the calls refused", refused/(begun*8)))
+	c.Check(begun*8 > 0.88*800*windows, qt.IsTrue, qt.Commentf("%.2f of the capacity used", begun*8/800/windows))
+	for range 2 * perSecond {
+		ch.step(80)
+	}
+	c.Check(ch.p.value < 0.05, qt.IsTrue, qt.Commentf("%.3f left after the burst", ch.p.value))
+}
+
+// A surge of four times the capacity begins at once. Its first effect shows
+// only after some windows; set against the present value instead of that of its
+// time, the pressure would pass what is wanted and refuse nearly all requests.
+func TestPressureDoesNotOvershoot(t *testing.T) {
+	c := qt.New(t)
+	ch := &chain{capacity: 800, calls: 8, life: 4}
+	most := 0.0
+	for range 100 {
+		ch.step(400)
+		most = max(most, ch.p.value)
+	}
+	c.Check(most < 0.8, qt.IsTrue, qt.Commentf("%.2f at its highest, 0.76 wanted", most))
+	c.Check(ch.p.value > 0.7, qt.IsTrue, qt.Commentf("%.2f in the end", ch.p.value))
+}
+
+// Browsing and filing lead to one overloaded upstream, paying does not. Under
+// pressure browsing is refused first and filing after it, paying never.
+func TestShedderRefusesTheLeastImportantFirst(t *testing.T) {
+	c := qt.New(t)
+	s := NewShedder()
+	now := time.Unix(1_000_000, 0)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	refused := map[string]int{}
+	for range 20_000 {
+		now = now.Add(time.Millisecond)
+		s.Heard("browse", 0.4, now)
+		s.Heard("file", 0.4, now)
+		s.Heard("pay", 0, now)
+		for profile, priority := range map[string]call.Priority{"browse": 13, "file": 15, "pay": 15} {
+			level := call.MakeLevel(priority, call.Tiebreak(rnd.IntN(int(call.MaxTiebreak)+1)))
+			if ok, _ := s.Admit(profile, level, now); !ok {
+				refused[profile]++
+			}
+		}
+	}
+	c.Check(refused["pay"], qt.Equals, 0)
+	c.Check(refused["file"] < 500, qt.IsTrue, qt.Commentf("%d filings", refused["file"]))
+	c.Check(refused["browse"] > 14_000 && refused["browse"] < 17_000, qt.IsTrue, qt.Commentf("%d browsings, 16000 wanted", refused["browse"]))
+}
+
+// After an overload no answers come for a profile that is refused whole. What
+// was heard must fade, or it would be refused for ever.
+func TestPressureThatNobodyConfirmsFades(t *testing.T) {
+	c := qt.New(t)
+	s := NewShedder()
+	now := time.Unix(1_000_000, 0)
+	for range 200 {
+		s.Heard("browse", 0.97, now)
+	}
+	for range 30 {
+		now = now.Add(heardLife + time.Millisecond)
+		s.Pressure("browse", now)
+	}
+	c.Check(s.Pressure("browse", now) < 0.01, qt.IsTrue)
+}
+
+// Fee look-ups make four calls a run and payments none, on one upstream. The
+// two must not be linked by chance: payments would be refused whenever the
+// service that fee look-ups need is overloaded.
+func TestCallGraphTellsWhoCalls(t *testing.T) {
+	c := qt.New(t)
+	g := NewCallGraph()
+	rnd := rand.New(rand.NewPCG(7, 7))
+	type step struct {
+		at   time.Duration
+		kind string
+	}
+	ends := []step{}
+	now := time.Unix(1_000_000, 0)
+	for at := time.Duration(0); at < 30*time.Second; at += time.Millisecond {
+		time := now.Add(at)
+		for len(ends) > 0 && ends[0].at <= at {
+			g.End(ends[0].kind, time)
+			ends = ends[1:]
+		}
+		if rnd.Float64() < 0.27 {
+			g.Begin("fee", time)
+			ends = append(ends, step{at + 40*1e6, "fee"})
+			for range 4 {
+				g.Called("reply", time)
+			}
+		}
+		if rnd.Float64() < 0.1 {
+			g.Begin("pay", time)
+			ends = append(ends, step{at + 40*1e6, "pay"})
+		}
+	}
+	c.Check(g.Calls("fee", "reply") > 3.4 && g.Calls("fee", "reply") < 4.6, qt.IsTrue, qt.Commentf("%.2f", g.Calls("fee", "reply")))
+	c.Check(g.Calls("pay", "reply"), qt.Equals, 0.0)
+	c.Check(g.Linked("fee"), qt.DeepEquals, []string{"reply"})
+	c.Check(g.Linked("pay"), qt.HasLen, 0)
+}
--- a/cmd/pollengauge/internal/cli/commands.go
+++ b/cmd/pollengauge/internal/cli/commands.go
@@ -7,6 +7,7 @@
 	return []*cobra.Command{
 		newNodeCommand(),
 		newSidecarCommand(),
+		newTraceLogCommand(),
 		newApplyCommand(),
 		newGetCommand(),
 		newDiffCommand(),
--- a/cmd/pollengauge/internal/cli/exit.go
+++ b/cmd/pollengauge/internal/cli/exit.go
@@ -51,7 +51,7 @@
 	switch {
 	case as[*config.RaceError](err):
 		return ExitRace
-	case as[*config.NoVersionError](err), as[*objects.NotFoundError](err):
+	case as[*config.NoVersionError](err), as[*objects.NotFoundError](err), as[*NoTraceError](err):
 		return ExitNotFound
 	case as[*objects.AmbiguousError](err):
 		return ExitAmbiguous
--- a/cmd/pollengauge/internal/cli/sidecar.go
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -22,7 +22,8 @@
 		Long: `Run the node beside an upstream on the users' platform until SIGTERM or
 SIGINT, then drain within the platform's grace period. The settings file is the
 platform's; its path is in ` + platform.SettingsVariable + `. Numbered events go to stdout.`,
-		Args: cobra.NoArgs,
+		Example: `  pollengauge sidecar --check --settings /etc/pollengauge/settings.json`,
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if checkOnly {
 				if _, err := platform.LoadSettings(path); err != nil {
--- /dev/null
+++ b/config/route_test.go
@@ -0,0 +1,102 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"pollengauge.dev/config"
+)
+
+func routedSet(routes ...config.Route) config.Set {
+	return config.Set{
+		Profiles: []config.Profile{config.NewProfile("default", 1), config.NewProfile("read", 2)},
+		Routes:   routes,
+		Limits:   config.Limits{RetryRatio: 0.1},
+	}
+}
+
+func to(service string) []config.Share { return []config.Share{{Service: service, Weight: 1}} }
+
+// A request goes to another service than the operator meant if a shorter
+// prefix wins or a segment is cut. Route, which looks at slashes only, must
+// agree with the plain rule: the longest prefix that begins the path.
+func TestRouteAgreesWithTheRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		prefix := rapid.StringMatching(`/([xy]{1,2}/){0,3}`)
+		var routes []config.Route
+		seen := map[string]bool{}
+		for range rapid.IntRange(0, 8).Draw(t, "routes") {
+			p := prefix.Draw(t, "prefix")
+			if !seen[p] {
+				seen[p] = true
+				routes = append(routes, config.Route{Name: p, Host: "h.example", PathPrefix: p, Profile: "read", Shares: to("s")})
+			}
+		}
+		compiled, err := config.Compile(routedSet(routes...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := rapid.StringMatching(`/([xy]{1,2}/?){0,5}`).Draw(t, "path")
+		want := ""
+		for _, r := range routes {
+			if strings.HasPrefix(path, r.PathPrefix) && len(r.PathPrefix) > len(want) {
+				want = r.PathPrefix
+			}
+		}
+		got := ""
+		if r := compiled.Route("h.example", path); r != nil {
+			got = r.PathPrefix
+		}
+		if got != want {
+			t.Fatalf("%q: got %q, want %q", path, got, want)
+		}
+		if compiled.Route("other.example", path) != nil {
+			t.Fatal("a route of another host")
+		}
+	})
+}
+
+// An operator mistypes a route. Each fault is named by its place, and nothing
+// comes into force.
+func TestFaultyRoutesAreNamed(t *testing.T) {
+	c := qt.New(t)
+	good := config.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Profile: "read", Shares: to("s")}
+	for place, spoil := range map[string]func(*config.Route){
+		"routes[1].name":             func(r *config.Route) { r.Name = "" },
+		"routes[1].host":             func(r *config.Route) { r.Host = "H:80" },
+		"routes[1].pathPrefix":       func(r *config.Route) { r.PathPrefix = "/b" },
+		"routes[1].profile":          func(r *config.Route) { r.Profile = "none" },
+		"routes[1].shares":           func(r *config.Route) { r.Shares = nil },
+		"routes[1].shares[0].weight": func(r *config.Route) { r.Shares = []config.Share{{Service: "s", Weight: -1}, {Service: "t", Weight: 1}} },
+		"routes[1]":                  func(r *config.Route) { r.PathPrefix = "/a/" },
+	} {
+		bad := good
+		bad.PathPrefix = "/b/"
+		spoil(&bad)
+		var refused *config.ValidationError
+		c.Assert(config.Validate(routedSet(good, bad)), qt.ErrorAs, &refused, qt.Commentf("%s", place))
+		c.Check(refused.Problems[0].Path, qt.Equals, place)
+	}
+}
+
+// Routes travel between nodes and through files as part of the set. One that is
+// lost or changed on the way would be another configuration of the same version.
+func TestRoutesSurviveFilesAndPeers(t *testing.T) {
+	c := qt.New(t)
+	set := routedSet(config.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Profile: "read", Shares: []config.Share{{Service: "s", Weight: 90}, {Service: "t", Weight: 10}}})
+	encoded, err := config.Encode(set)
+	c.Assert(err, qt.IsNil)
+	decoded, err := config.Decode(encoded)
+	c.Assert(err, qt.IsNil)
+	c.Check(decoded, qt.DeepEquals, set)
+	text, err := set.YAML()
+	c.Assert(err, qt.IsNil)
+	parsed, err := config.Parse(text, config.YAML)
+	c.Assert(err, qt.IsNil)
+	c.Check(config.Diff(set, parsed), qt.HasLen, 0)
+	changed := routedSet(config.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Profile: "read", Shares: to("t")})
+	c.Check(config.FormatDiff(config.Diff(set, changed)), qt.Contains, "~ routes[h.example/a/].shares: s:90,t:10 -> t:1")
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -85,7 +85,7 @@
 	mux.Handle("GET "+PathFates, n.adminServer(n.fatesEndpoint(), decodeFates))
 	mux.Handle("POST "+PathKey, n.adminServer(n.keyEndpoint(), decodeEmpty))
 	mux.Handle("GET "+PathConfig, n.adminServer(n.configEndpoint(), decodeEmpty))
-	mux.Handle("GET "+PathMetrics, n.metricsHandler())
+	mux.Handle("GET "+PathMetrics, n.MetricsHandler())
 	mux.HandleFunc("GET "+PathHealth, n.serveHealth)
 	return http.MaxBytesHandler(mux, maxAdminBody)
 }
--- /dev/null
+++ b/node/operations_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/observe"
+)
+
+// logBuffer keeps a node's log.
+type logBuffer struct {
+	mu    sync.Mutex
+	bytes bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes.Write(p)
+}
+
+// about returns the lines that name a request.
+func (b *logBuffer) about(id string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []string
+	for line := range strings.Lines(b.bytes.String()) {
+		if strings.Contains(line, "request="+id+" ") {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// addLogged is addRouted with a log that can be read.
+func (f *fleet) addLogged(name, service string, h handler) (*Node, *logBuffer) {
+	out := &logBuffer{}
+	log, err := observe.NewLogger(observe.LoggerConfig{Output: out})
+	f.c.Assert(err, qt.IsNil)
+	n := f.addRouted(name, service, 10, h, func(s *Settings) { s.Log = log })
+	return n, out
+}
+
+// has reports whether a line has all of the words.
+func has(lines []string, words ...string) bool {
+	for _, line := range lines {
+		all := true
+		for _, word := range words {
+			all = all && strings.Contains(line, word)
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
+
+// Three customers complain, each with the id of a request that failed: refused
+// before it ran, run with its answer lost, timed out under a slow upstream. The
+// lines that docs/OPERATIONS.md names must be in the logs of the nodes on its
+// way, or nobody can tell the three apart.
+func TestFailedRequestsCanBeExplainedFromLogs(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front, frontLog := f.addLogged("front", "front", echo)
+		_, deskLog := f.addLogged("desk", "desk", func(w http.ResponseWriter, r *http.Request, c func(string, string, string) (*http.Response, error)) {
+			switch r.Header.Get("X-Id") {
+			case "lost":
+				panic(http.ErrAbortHandler)
+			case "slow":
+				time.Sleep(5 * time.Second)
+			}
+			echo(w, r, c)
+		})
+		f.settle()
+
+		for range 200 {
+			front.shedder.Heard("read", 0.97, front.now())
+		}
+		for range 40 {
+			f.askRouted(front, "/browse/x", "crowd")
+		}
+		f.c.Check(f.askRouted(front, "/browse/x", "refused").status, qt.Equals, http.StatusServiceUnavailable)
+		f.c.Check(has(frontLog.about("refused"), "event=8003", "step=root", "reason=level-below", "outcome=not-run"), qt.IsTrue)
+		f.c.Check(deskLog.about("refused"), qt.HasLen, 0)
+
+		f.c.Check(f.askRouted(front, "/file/x", "lost").status, qt.Equals, http.StatusBadGateway)
+		f.c.Check(has(frontLog.about("lost"), "event=8004", "step=attempt", "target=desk/", "reason=lost"), qt.IsTrue)
+		f.c.Check(has(frontLog.about("lost"), "event=8004", "step=root", "outcome=unknown", "ended=may-have-run"), qt.IsTrue)
+		f.c.Check(has(deskLog.about("lost"), "event=8004", "step=inbound", "outcome=unknown", "reason=lost"), qt.IsTrue)
+
+		f.c.Check(f.askRouted(front, "/file/x", "slow").reason, qt.Equals, "timeout")
+		f.c.Check(has(frontLog.about("slow"), "event=8004", "step=root", "reason=timeout", "took=2s"), qt.IsTrue)
+		f.c.Check(has(deskLog.about("slow"), "event=8004", "step=inbound", "outcome=unknown", "waited=0s"), qt.IsTrue)
+		time.Sleep(5 * time.Second) // the upstream's handler ends
+	})
+}
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -78,11 +79,14 @@
 
 // addRouted starts a node that speaks plainDialect, with an upstream that
 // announces itself as an incarnation.
-func (f *fleet) addRouted(name, service string, slots int, h handler) *Node {
+func (f *fleet) addRouted(name, service string, slots int, h handler, adjust ...func(*Settings)) *Node {
 	n := f.add(name, service, slots, h, func(s *Settings) {
 		s.Edge = ""
 		s.Dialect = plainDialect{}
 		s.DrainTimeout = 5 * time.Second
+		for _, a := range adjust {
+			a(s)
+		}
 	})
 	set, err := config.Parse([]byte(routedSet), config.YAML)
 	f.c.Assert(err, qt.IsNil)
@@ -180,3 +184,120 @@
 		f.c.Check(<-ended, qt.IsNil)
 	})
 }
+
+// A route is split nine to one. Over some hundred requests each service gets its
+// share, also one whose upstreams refuse.
+func TestSharesFollowTheWeights(t *testing.T) {
+	c := qt.New(t)
+	rnd := rand.New(rand.NewPCG(3, 3))
+	shares := []config.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}
+	counts := map[string]int{}
+	for range 3000 {
+		counts[pickShare(shares, rnd.Uint64())]++
+	}
+	c.Check(counts["a"] > 2640 && counts["a"] < 2760, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Check(counts["c"], qt.Equals, 0)
+}
+
+// An announcement of an incarnation that has crashed arrives after its
+// successor's. Taken for the present one, each call would be meant for an
+// incarnation that is gone, and be refused.
+func TestLateAnnouncementsAreLeftOut(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("vm", "desk", 10, echo)
+		a := n.upstream.Load().Announcement
+		announce := func(instance string, sequence uint64, draining bool) {
+			a.Instance, a.Sequence, a.Draining = instance, sequence, draining
+			f.c.Assert(n.Announce(a), qt.IsNil)
+		}
+		announce("old", 4, false)
+		announce("old", 5, true)
+		f.c.Check(n.draining.Load(), qt.IsTrue)
+		announce("new", 1, false)
+		f.c.Check(n.draining.Load(), qt.IsFalse)
+		announce("old", 3, true)
+		f.c.Check(n.upstream.Load().Instance, qt.Equals, "new")
+		n.Leaving("old")
+		f.c.Check(n.draining.Load(), qt.IsFalse)
+		announce("old", 9, false)
+		f.c.Check(n.upstream.Load().Instance, qt.Equals, "new")
+		n.Leaving("new")
+		f.c.Check(n.draining.Load(), qt.IsTrue)
+	})
+}
+
+// The upstream restarts, and requests meant for the old incarnation are refused
+// by the new one. Its own word for who it is must be enough to go on.
+func TestRestartedUpstreamIsKnownByItsAnswer(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "front", 10, echo)
+		desk := f.addRouted("desk", "desk", 10, func(w http.ResponseWriter, r *http.Request, c func(string, string, string) (*http.Response, error)) {
+			if r.Header.Get("X-Instance") != "two" {
+				w.Header().Set("X-Echo", r.Header.Get("X-Id"))
+				w.Header().Set("X-Instance", "two")
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			echo(w, r, c)
+		})
+		a := desk.upstream.Load().Announcement
+		a.Instance, a.Sequence = "one", 1
+		f.c.Assert(desk.Announce(a), qt.IsNil)
+		f.settle()
+		f.c.Check(f.askRouted(front, "/file/x", "first").status, qt.Equals, http.StatusServiceUnavailable)
+		f.c.Check(f.askRouted(front, "/file/x", "second").status, qt.Equals, http.StatusOK)
+	})
+}
+
+// An upstream's answer breaks off, or is that to another request. The caller of
+// a repeatable request gets a whole answer from another upstream; that of an
+// unrepeatable one learns that its fate is unknown.
+func TestBrokenAnswersReachNoCaller(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "front", 10, echo)
+		f.addRouted("bad", "desk", 10, func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			if strings.HasPrefix(r.Header.Get("X-Id"), "other") {
+				w.Header().Set("X-Echo", "somebody else's")
+				_, _ = io.WriteString(w, "not yours")
+				return
+			}
+			w.Header().Set("X-Echo", r.Header.Get("X-Id"))
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			panic(http.ErrAbortHandler)
+		})
+		f.addRouted("good", "desk", 10, echo)
+		f.settle()
+		for range 200 { // earn a budget for retries
+			f.askRouted(front, "/file/x", "earn")
+		}
+		for i := range 20 {
+			for _, kind := range []string{"other", "half"} {
+				id := kind + strconv.Itoa(i)
+				got := f.askRouted(front, "/browse/x", id)
+				f.c.Check(got.status == http.StatusOK && got.body != "answer to "+id, qt.IsFalse, qt.Commentf("%d %q", got.status, got.body))
+				got = f.askRouted(front, "/file/x", id)
+				f.c.Check(got.status == http.StatusOK && got.body == "answer to "+id || got.status == http.StatusBadGateway, qt.IsTrue, qt.Commentf("%d %q", got.status, got.body))
+			}
+		}
+	})
+}
+
+// The upstream makes a call for a request that it runs. The call ranks as the
+// request, so a filing's lookup goes before a browser's, and ends with it.
+func TestCallsBelongToTheirRequest(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "desk", 10, echo)
+		parent := &visit{deadline: front.now().Add(time.Second), call: call.Context{Level: call.MakeLevel(15, 7), Depth: 2}}
+		front.visits.addAs(parent, "p")
+		req := &request{deadline: front.now().Add(time.Hour), call: call.Context{RequestID: "p/c", Level: call.MakeLevel(13, 9)}}
+		f.c.Check(front.parentOf(req), qt.Equals, parent)
+		f.c.Check(req.call.Level, qt.Equals, call.MakeLevel(15, 7))
+		f.c.Check(req.call.Depth, qt.Equals, 3)
+		f.c.Check(req.deadline, qt.Equals, parent.deadline)
+		front.visits.remove(parent)
+		orphan := &request{call: call.Context{RequestID: "p/d", Level: call.MakeLevel(13, 9)}}
+		f.c.Check(front.parentOf(orphan), qt.IsNil)
+		f.c.Check(orphan.call.Depth, qt.Equals, 1)
+	})
+}
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -110,7 +110,8 @@
 	return 0
 }
 
-func (n *Node) metricsHandler() http.Handler { return n.metrics }
+// MetricsHandler serves the metrics in the text form of Prometheus.
+func (n *Node) MetricsHandler() http.Handler { return n.metrics }
 
 // Status is a snapshot of the node for top and for scripts.
 func (n *Node) Status() observe.NodeStatus {
