node, routing: ending nodes serve on for a second, levels drawn evenly

Callers of a VM share its address, so ranks by caller fell into a few levels, and pressure could refuse only whole ones. Change: peers are told of an end after a second; draining members are the last resort; a node joins as soon as it knows members and configuration; levels are drawn evenly where callers can't be told apart.

--- a/node/drain.go
+++ b/node/drain.go
@@ -60,10 +60,10 @@
 	ctx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
 	defer cancel()
 	n.ending.Store(true)
-	n.SetDraining(true)
 	if n.spoken() {
 		return n.end(ctx)
 	}
+	n.SetDraining(true)
 	if n.settings.Ablate.NoDrainWait {
 		n.Close()
 		return nil
--- a/node/ending.go
+++ b/node/ending.go
@@ -12,14 +12,16 @@
 // How the process ends where callers on this VM send their requests here. They
 // learn that it isn't ready by asking, so they go on for a while.
 const (
-	// endLinger is the least time from the begin of an end to its close.
-	// Callers ask once a second and leave after two answers that say no; a
-	// listener that closes sooner breaks requests that are on their way.
-	endLinger = 2500 * time.Millisecond
-	// endAccept is how long new requests are still taken: as long as callers
-	// may not have heard. What comes later is refused with not-run, so that the
-	// rest of the time is left to the requests that run.
-	endAccept = 3 * time.Second
+	// endNews is how long the upstream here still takes calls of other nodes
+	// before they are told of the end. It goes on running beside a node that is
+	// only restarted, and where the nodes of a service restart in turn, each
+	// second without it counts.
+	endNews = time.Second
+	// endAccept is how long requests of callers are still taken. They ask once a
+	// second and leave after two answers that say no; a listener that closes
+	// sooner breaks requests that are on their way. What comes later is refused
+	// with not-run, so that the rest of the time is left to what runs.
+	endAccept = 2500 * time.Millisecond
 	// endLeave bounds the farewell to the other members.
 	endLeave = 200 * time.Millisecond
 )
@@ -32,14 +34,9 @@
 // it, so the others get no share of its work for longer than the news takes;
 // what was taken is brought to its end.
 func (n *Node) end(ctx context.Context) error {
-	began := n.now()
-	linger := time.NewTimer(endLinger)
-	defer linger.Stop()
-	select {
-	case <-linger.C:
-	case <-ctx.Done():
-	}
-	pause(ctx, endAccept-n.now().Sub(began))
+	pause(ctx, endNews)
+	n.SetDraining(true)
+	pause(ctx, endAccept-endNews)
 	n.closed.Store(true)
 	err := n.awaitActive(ctx)
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), endLeave)
--- a/node/members.go
+++ b/node/members.go
@@ -76,7 +76,7 @@
 
 // tellSlotsOnceJoined lets the others send calls to this node.
 func (n *Node) tellSlotsOnceJoined(ctx context.Context) {
-	if pause(ctx, joinTime) {
+	if n.awaitJoined(ctx) {
 		n.joined.Store(true)
 		if n.ownSlots.Load() > 0 {
 			n.tellSlots()
@@ -84,6 +84,23 @@
 	}
 }
 
+// joinPoll is how often a node looks whether it has joined.
+const joinPoll = 50 * time.Millisecond
+
+// awaitJoined waits until this node may be sent calls: for joinTime, or, where a
+// dialect is spoken, until it knows other members and a configuration.
+func (n *Node) awaitJoined(ctx context.Context) bool {
+	for until := n.now().Add(joinTime); n.now().Before(until); {
+		if n.spoken() && n.config.Status().Heard && len(n.gossip.Members()) > 1 {
+			return true
+		}
+		if !pause(ctx, joinPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) tellSlots() {
 	err := n.gossip.Update(func(m *membership.Member) { m.Slots = int(n.ownSlots.Load()) })
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -176,6 +176,8 @@
 		Zone:   s.Zone,
 		Region: s.Region,
 		Start:  n.started,
+		// A gate that drains refuses by itself.
+		LastResort: n.spoken(),
 	})
 	return nil
 }
--- a/node/routed.go
+++ b/node/routed.go
@@ -115,11 +115,19 @@
 		Host:      r.Host,
 		Origin:    n.settings.Service,
 	}
-	req.call.Level = n.rank(r, req)
+	req.call.Level = drawLevel(profile, rand.Uint64())
 	req.span = n.startSpan(r.Header)
 	return req, nil
 }
 
+// drawLevel places a request among those of its priority by chance. A dialect
+// does not tell callers apart: those of a VM share its address, and ranked by it
+// they would all crowd into a few levels, of which only whole ones can be
+// refused.
+func drawLevel(profile *config.Profile, random uint64) call.Level {
+	return call.MakeLevel(call.Priority(profile.Priority), call.Tiebreak(random%(uint64(call.MaxTiebreak)+1)))
+}
+
 // noConfigRetry is the Retry-After of a node without a configuration: it gets
 // one within a round trip to the platform or a peer.
 const noConfigRetry = 250 * time.Millisecond
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -57,7 +57,7 @@
 			return candidate, false
 		}
 	}
-	return nil, false
+	return c.best(c.view.leaving, true)
 }
 
 // chance returns a random number of thousandths, never the whole.
--- a/routing/config.go
+++ b/routing/config.go
@@ -58,6 +58,10 @@
 	// although the members still list it. It should outlast the time that
 	// news takes to spread. Default 10 s.
 	DrainMemory time.Duration
+	// LastResort has a draining member picked where no other is left. It is for
+	// members that refuse by themselves, as not run, what they no longer take:
+	// one that restarts in turn with its peers still serves for a while.
+	LastResort bool
 	// Start is the time at which the node started. Times are measured from
 	// it, by the monotonic clock where the values have one. Zero means the
 	// Unix epoch.
--- a/routing/drain_test.go
+++ b/routing/drain_test.go
@@ -47,3 +47,35 @@
 	_, err = r.Pick(only.Service, nil, 1, now)
 	c.Assert(err, qt.IsNil)
 }
+
+// The nodes of a service restart in turn, and for a moment all that are left
+// drain. With LastResort a call goes to one of them, which refuses by itself what
+// it no longer takes; one that has refused for that reason is not asked again.
+func TestDrainingMembersAreTheLastResort(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	r := NewRouter(Config{Node: "me", Zone: "a", Region: "r", LastResort: true})
+	r.SetTargets([]Target{
+		{ID: "one", Service: "s", Zone: "a", Region: "r", Draining: true},
+		{ID: "two", Service: "s", Zone: "b", Region: "r"},
+	})
+	for i := range uint64(50) {
+		picked, err := r.Pick("s", nil, i, now)
+		c.Assert(err, qt.IsNil)
+		c.Check(picked.Target.ID, qt.Equals, "two")
+		picked.Done(Feedback{Outcome: call.Complete, Latency: time.Millisecond}, now)
+	}
+	r.SetTargets([]Target{
+		{ID: "one", Service: "s", Zone: "a", Region: "r", Draining: true},
+		{ID: "two", Service: "s", Zone: "b", Region: "r", Draining: true},
+	})
+	picked, err := r.Pick("s", nil, 1, now)
+	c.Assert(err, qt.IsNil)
+	picked.Done(Feedback{Outcome: call.NotRun, Reason: call.ReasonDraining}, now)
+	other, err := r.Pick("s", nil, 1, now)
+	c.Assert(err, qt.IsNil)
+	c.Check(other.Target.ID, qt.Not(qt.Equals), picked.Target.ID)
+	other.Done(Feedback{Outcome: call.NotRun, Reason: call.ReasonDraining}, now)
+	_, err = r.Pick("s", nil, 1, now)
+	c.Check(err, qt.IsNotNil)
+}
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -20,6 +20,9 @@
 	for _, candidate := range members {
 		switch {
 		case candidate.target.Draining:
+			if config.LastResort && len(v.leaving) < MaxSubset {
+				v.leaving = append(v.leaving, candidate)
+			}
 		case candidate.target.Region != config.Region:
 			away = append(away, candidate)
 		default:
--- a/routing/view.go
+++ b/routing/view.go
@@ -17,8 +17,10 @@
 	region []*member
 	away   []*member
 	// home is zone and region together, active all three.
-	home   []*member
-	active []*member
+	home []*member
+	// leaving are the draining members, at most MaxSubset.
+	leaving []*member
+	active  []*member
 	// members are all that were announced, for Snapshot and for the reason
 	// when there is no target.
 	members []*member
