membership, node, platform: members that left are found at their addresses

Change: where VMs restart at their addresses, members that left are tried like dead ones, each second.

--- a/membership/config.go
+++ b/membership/config.go
@@ -63,6 +63,10 @@
 	// It bounds how soon a cut heals, and the traffic towards VMs that are
 	// gone for good. Default 10 s.
 	HealInterval time.Duration
+	// TryLeft has members that left tried like dead ones. A VM is restarted at
+	// its old address while its seeds can't be read; then only the others can
+	// find it. Off, one that left is believed to be gone for good.
+	TryLeft bool
 	// DeadRetention is how long dead members are remembered and tried; a cut
 	// that lasts longer heals through the seeds. Default 30 min.
 	DeadRetention time.Duration
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -188,3 +188,30 @@
 		w.c.Assert(mute.Stats().Refutations > 0, qt.IsTrue)
 	})
 }
+
+// A VM is restarted in an orderly way: its process leaves and starts again at
+// its address, while the store with the seeds is away. Nobody tries a member
+// that left, so it would stay alone, without configuration, until the store is
+// back. With TryLeft the others find it within a few seconds.
+func TestMemberThatLeftIsFoundAtItsAddress(t *testing.T) {
+	cluster(t, 12, func(w *network) {
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			n.cfg.TryLeft = true
+			n.cfg.HealInterval = time.Second
+			n.due.heal = time.Now()
+			n.mu.Unlock()
+		}
+		left := w.nodes[5]
+		w.c.Assert(left.Leave(w.ctx), qt.IsNil)
+		left.crash()
+		w.within(5*time.Second, func(n *testNode) bool { return n.state(left.id()) == Left })
+		fresh := w.start(5, func(c *Config) {
+			c.Seeds = func(context.Context) ([]string, error) { return nil, &UnheardError{} }
+		})
+		took := w.within(4*time.Second, func(n *testNode) bool {
+			return n.state(fresh.id()) == Alive && n.sees(Alive) == 12
+		})
+		w.c.Logf("found by all after %v", took)
+	})
+}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -30,14 +30,19 @@
 func (g *Gossip) heal() func() {
 	var dead []memberID
 	for _, row := range g.table.order {
-		if _, replaced := g.table.holder[row.m.GossipAddr]; row.m.State == Dead && !replaced {
+		_, replaced := g.table.holder[row.m.GossipAddr]
+		tried := row.m.State == Dead || row.m.State == Left && g.cfg.TryLeft
+		if tried && !replaced {
 			dead = append(dead, row.id)
 		}
 	}
 	if len(dead) == 0 {
 		return nil
 	}
-	return g.probeOf(dead[g.cfg.Rand.IntN(len(dead))], Entry{})
+	id := dead[g.cfg.Rand.IntN(len(dead))]
+	// The claim has one that left probed as well: what is looked for is who has
+	// its address now.
+	return g.probeOf(id, Entry{Seq: g.table.rows[id].m.Seq + 1})
 }
 
 // syncWith compares tables with a peer and exchanges what differs: a little
--- a/node/members.go
+++ b/node/members.go
@@ -13,7 +13,7 @@
 
 // startMembership joins the gossip. The configuration travels with it.
 func (n *Node) startMembership(ctx context.Context) error {
-	gossip, err := membership.New(membership.Config{
+	config := membership.Config{
 		Self: membership.Member{
 			ID:         n.id,
 			Service:    n.settings.Service,
@@ -27,7 +27,12 @@
 		Dial:     func(ctx context.Context, addr string) (net.Conn, error) { return n.between.Dial(ctx, addr) },
 		Seeds:    n.seeds,
 		Delegate: &gossipDelegate{node: n},
-	})
+	}
+	if n.spoken() {
+		config.TryLeft = true
+		config.HealInterval = healInDialect
+	}
+	gossip, err := membership.New(config)
 	if err != nil {
 		return err
 	}
@@ -42,6 +47,11 @@
 	return gossip.Start(ctx)
 }
 
+// healInDialect is how often each node tries a member that is gone. Where nodes
+// are restarted at their addresses while the platform's store is away, only the
+// others can bring them back, and each second without them counts.
+const healInDialect = time.Second
+
 // refreshPause bounds how often the targets are refreshed.
 //
 // The failure: many members come and go at once, each change costs work that
--- a/observe/events.go
+++ b/observe/events.go
@@ -16,7 +16,7 @@
 	NodeFailed        = event(1012, "node-failed", Error, "A part of the node has failed and the process ends.", "Read the error; start the node again.")
 	UpstreamChanged   = event(1013, "upstream-changed", Info, "The upstream announced another address or number of slots.", noAction)
 	AnnouncementStale = event(1015, "announcement-stale", Info, "An announcement of the upstream came after a newer one and was left out.", noAction)
-	SettingsReloaded  = event(1016, "settings-reloaded", Info, "The settings file was read again; the fields named are in force from now on.", noAction)
+	SettingsReloaded  = event(1016, "settings-reloaded", Info, "The settings file was read again; so many of its tables have changed.", noAction)
 	SettingsRefused   = event(1017, "settings-refused", Error, "The settings file changed and can't be used; the last settings stay in force.", "Correct the file; it is read again at its next change.")
 	SettingsKept      = event(1018, "settings-kept", Warn, "A setting changed that is read at the start only.", "Restart the node to put it in force.")
 	TraceExportFailed = event(1014, "trace-export-failed", Warn, "Spans could not be sent to the collector.", "See whether the collector is up; calls are not affected.")
