--- a/config/route_test.go
+++ b/config/route_test.go
@@ -65,13 +65,15 @@
 	c := qt.New(t)
 	good := config.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Profile: "read", Shares: to("s")}
 	for place, spoil := range map[string]func(*config.Route){
-		"routes[1].name":             func(r *config.Route) { r.Name = "" },
-		"routes[1].host":             func(r *config.Route) { r.Host = "H:80" },
-		"routes[1].pathPrefix":       func(r *config.Route) { r.PathPrefix = "/b" },
-		"routes[1].profile":          func(r *config.Route) { r.Profile = "none" },
-		"routes[1].shares":           func(r *config.Route) { r.Shares = nil },
-		"routes[1].shares[0].weight": func(r *config.Route) { r.Shares = []config.Share{{Service: "s", Weight: -1}, {Service: "t", Weight: 1}} },
-		"routes[1]":                  func(r *config.Route) { r.PathPrefix = "/a/" },
+		"routes[1].name":       func(r *config.Route) { r.Name = "" },
+		"routes[1].host":       func(r *config.Route) { r.Host = "H:80" },
+		"routes[1].pathPrefix": func(r *config.Route) { r.PathPrefix = "/b" },
+		"routes[1].profile":    func(r *config.Route) { r.Profile = "none" },
+		"routes[1].shares":     func(r *config.Route) { r.Shares = nil },
+		"routes[1].shares[0].weight": func(r *config.Route) {
+			r.Shares = []config.Share{{Service: "s", Weight: -1}, {Service: "t", Weight: 1}}
+		},
+		"routes[1]": func(r *config.Route) { r.PathPrefix = "/a/" },
 	} {
 		bad := good
 		bad.PathPrefix = "/b/"
--- a/node/routed.go
+++ b/node/routed.go
@@ -128,11 +128,11 @@
 	return call.MakeLevel(call.Priority(profile.Priority), call.Tiebreak(random%(uint64(call.MaxTiebreak)+1)))
 }
 
-// noConfigRetry is the Retry-After of a node without a configuration: it gets
-// one within a round trip to the platform or a peer.
+// noConfigRetry is the least Retry-After of a node without a configuration: it
+// gets one within a round trip to the platform or a peer.
 const noConfigRetry = 250 * time.Millisecond
 
-// endRetry is the Retry-After of a node that ends: its callers are on another
+// endRetry is the least Retry-After of a node that ends: its callers are on another
 // one by then.
 const endRetry = 50 * time.Millisecond
 
