admission: order within a group counts for the wait only where the limit is exact

The count of waiters within a group, meant for exact limits, had also come to gates with a learnt limit: calls that would have had their turn were refused as they came. Change: it is in force with SlotShare alone; the platform's path is unchanged.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -148,12 +148,16 @@
 	return nil
 }
 
-// ahead counts the waiters that go before a newcomer of class c.
-func (q *queue) ahead(c class) int {
+// ahead counts the waiters that go before a newcomer of class c. Without
+// withinGroup tie-breaks are left aside.
+func (q *queue) ahead(c class, withinGroup bool) int {
 	n := 0
 	for i := c.group() + 1; i < groups; i++ {
 		n += q.inGroup[i]
 	}
+	if !withinGroup {
+		return n
+	}
 	for i := c; i.group() == c.group() && int(i) < classes; i++ {
 		n += int(q.inClass[i])
 	}
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -89,8 +89,13 @@
 }
 
 // expectedWait is how long the more important calls ahead will keep the room.
+//
+// With an exact limit the order within a group counts as well, so that what
+// would wait too long is refused as it comes. A learnt limit makes the spacing
+// too rough for that: calls that would have had their turn were refused.
 func (g *Gate) expectedWait(c class) time.Duration {
-	return time.Duration(float64(g.queue.ahead(c)) * g.window.spacing)
+	ahead := g.queue.ahead(c, g.config.SlotShare > 0)
+	return time.Duration(float64(ahead) * g.window.spacing)
 }
 
 // await returns when w has left the queue.
