node: judging answers in a dialect has a file of its own

Cause: local.go had grown to two jobs, runs in the project's own interface and in a dialect. Code moved only; no behaviour changed. Measured: node's tests of the dialect pass.

--- /dev/null
+++ b/node/local_dialect.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"net/http"
+
+	"pollengauge.dev/admission"
+	"pollengauge.dev/call"
+)
+
+// answeredInDialect judges an answer by what the dialect reads in its head. The
+// upstream's word that it did not run the request is taken: the dialect has it
+// say so only before it has done anything.
+func (l *localCall) answeredInDialect(up *upstream, resp *http.Response) *answer {
+	told := l.node.settings.Dialect.ReadUpstream(resp, l.node.upstreamTold(up, l.request))
+	stripHop(resp.Header)
+	l.node.strip(resp.Header)
+	switch told.Outcome {
+	case call.Complete:
+		return l.completeHeld(resp)
+	case call.NotRun:
+		if told.Reason == call.ReasonOtherInstance {
+			l.node.noteInstance(up, told.Instance)
+		}
+		return l.gaveUp(resp, resp.Header, call.NotRun, told.Reason, "")
+	}
+	// The connection is not used again: what comes on it next may belong to
+	// any request.
+	_ = resp.Body.Close()
+	return l.notBelieved(told.Reason)
+}
+
+// completeHeld passes on the upstream's answer once it is whole.
+func (l *localCall) completeHeld(resp *http.Response) *answer {
+	body, whole, err := heldBody(resp)
+	if err != nil {
+		_ = resp.Body.Close()
+		return l.notBelieved(call.ReasonTruncated)
+	}
+	if !whole {
+		return l.complete(resp, resp.Header)
+	}
+	_ = resp.Body.Close()
+	l.finish(resultOf(resp.StatusCode), call.Complete, call.ReasonNone, resp.StatusCode)
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: memoryBody(body)}
+	a.report = call.Report{Outcome: call.Complete, Hop: l.node.settings.Service}
+	l.node.fillReport(&a.report, l.visit)
+	return a
+}
+
+// notBelieved ends a run whose answer can't be the one to its request.
+func (l *localCall) notBelieved(reason call.Reason) *answer {
+	if l.visit.ctx.Err() != nil {
+		reason = lossReason(l.visit.ctx, l.visit.ctx.Err())
+	}
+	l.visit.close()
+	l.finish(admission.Failed, call.Unknown, reason, 0)
+	a := l.node.refuse(call.Unknown, reason, 0)
+	a.reported = true
+	l.node.fillReport(&a.report, l.visit)
+	return a
+}
