soak: drawn faults against the real programs, judged from outside

Change: cmd/pollengauge/soak starts nodes and the store's stand-in as processes, with proxies on each kind of link, and judges what customers, upstreams and the operator saw. Nodes may advertise another address than the bound one, as behind port mapping, which is what lets a proxy stand between them.

--- a/cmd/pollengauge/internal/cli/settings.go
+++ b/cmd/pollengauge/internal/cli/settings.go
@@ -221,6 +221,8 @@
 	f.text(&s.Outbound, "outbound", "listener for the upstream's calls; keep on loopback (host:port)")
 	f.text(&s.Gossip, "gossip", "listener for membership (host:port)")
 	f.text(&s.Admin, "admin", "listener for operators and the upstream's announcement; keep on loopback (host:port)")
+	f.text(&s.AdvertisePeer, "advertise-peer", "where other nodes reach --peer, if not at its bound address (host:port)")
+	f.text(&s.AdvertiseGossip, "advertise-gossip", "where other nodes reach --gossip, if not at its bound address (host:port)")
 	f.text(&s.PlatformURL, "platform", "URL of the platform's object API; empty lives from peers alone")
 	f.list(&s.Peers, "peers", "gossip addresses of other nodes, comma separated")
 	f.number(&s.Slots, "slots", "calls in the upstream at once until it announces its own number")
--- a/cmd/pollengauge/internal/cli/sidecar.go
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -14,7 +14,7 @@
 const logPatience = 200 * time.Millisecond
 
 func newSidecarCommand() *cobra.Command {
-	path := ""
+	var options platform.Options
 	checkOnly := false
 	cmd := &cobra.Command{
 		Use:   "sidecar",
@@ -26,7 +26,7 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if checkOnly {
-				if _, err := platform.LoadSettings(path); err != nil {
+				if _, err := platform.LoadSettings(options.Path); err != nil {
 					return err
 				}
 				out := &printer{w: cmd.OutOrStdout()}
@@ -39,10 +39,13 @@
 			if err != nil {
 				return err
 			}
-			return platform.Run(cmd.Context(), path, log)
+			options.Log = log
+			return platform.Run(cmd.Context(), options)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file")
+	cmd.Flags().StringVar(&options.Path, "settings", os.Getenv(platform.SettingsVariable), "path of the settings file")
+	cmd.Flags().StringVar(&options.AdvertisePeer, "advertise-peer", "", "where other nodes reach the inbound listener, if not at its own address (host:port)")
+	cmd.Flags().StringVar(&options.AdvertiseGossip, "advertise-gossip", "", "where other nodes reach the membership listener, if not at its own address (host:port)")
 	cmd.Flags().BoolVar(&checkOnly, "check", false, "only check the settings file")
 	return cmd
 }
--- /dev/null
+++ b/cmd/pollengauge/soak/fleet_test.go
@@ -0,0 +1,291 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"pollengauge.dev/objects"
+	"pollengauge.dev/platform/store"
+)
+
+// host is the one under which all routes stand.
+const host = "desk.example"
+
+// Routes of the fleet, by prefix, and the services that they may lead to.
+const (
+	pathBrowse = "/browse/"
+	pathFile   = "/file/"
+	pathLook   = "/look/"
+	pathProbe  = "/probe/"
+)
+
+var services = []string{"web", "filing", "stock"}
+
+// fleet is one deployment on this machine.
+type fleet struct {
+	folder    string
+	record    *record
+	terms     terms
+	vms       []*vm
+	client    *http.Client
+	store     *os.Process
+	storeAddr string
+	operator  *operator
+
+	mu     sync.Mutex
+	failed error
+	done   sync.WaitGroup
+	stop   context.CancelFunc
+}
+
+// fail keeps the first failure of the soak itself.
+func (f *fleet) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed == nil {
+		f.failed = err
+	}
+}
+
+// network is the second and third byte of the fleet's addresses, drawn anew for
+// each, so that two soaks on one machine don't meet.
+func network() string { return fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250)) }
+
+// newFleet starts the store and all VMs, and waits until each serves.
+func newFleet(ctx context.Context, folder string, size int, t terms) (*fleet, error) {
+	ctx, stop := context.WithCancel(ctx)
+	f := &fleet{folder: folder, record: &record{}, terms: t, client: &http.Client{Timeout: 5 * time.Second}, stop: stop}
+	base := network()
+	f.storeAddr = base + ".250:8309"
+	var err error
+	if f.store, err = startProgram(f.logPath("store"), "standin", "platform", "--addr", f.storeAddr); err != nil {
+		return f, err
+	}
+	if err := await(ctx, func() bool { return f.faults("{}") == nil }); err != nil {
+		return f, err
+	}
+	f.operator = newOperator(f)
+	f.operator.change(ctx)
+	for i := range size {
+		v := &vm{fleet: f, number: i, ip: fmt.Sprintf("%s.%d", base, i+1), zone: fmt.Sprintf("zone-%d", i/len(services)%2)}
+		v.settings, v.log = f.logPath(fmt.Sprintf("settings-%d", i)), f.logPath(fmt.Sprintf("vm-%d", i))
+		v.upstream = f.newUpstream(v, services[i%len(services)])
+		f.vms = append(f.vms, v)
+		if err := f.bringUp(ctx, v); err != nil {
+			return f, err
+		}
+	}
+	return f, await(ctx, f.allReady)
+}
+
+func (f *fleet) newUpstream(v *vm, service string) *upstream {
+	u := &upstream{
+		record: f.record, vm: v.number, service: service, addr: v.at(portUpstream),
+		outbound: v.at(portOutbound), control: v.at(portControl),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: upstreamSlots, DisableCompression: true}},
+	}
+	switch service {
+	case "web":
+		u.calls = []plannedCall{{pathLook, 1}}
+	case "filing":
+		u.calls = []plannedCall{{pathLook, 2}}
+	}
+	u.odds.Store(&odds{})
+	u.work.Store(int64(usualWork))
+	return u
+}
+
+func (f *fleet) bringUp(ctx context.Context, v *vm) error {
+	if err := v.prepare(); err != nil {
+		return err
+	}
+	if err := v.upstream.start(); err != nil {
+		return err
+	}
+	f.done.Go(func() { v.upstream.beat(ctx) })
+	return v.start()
+}
+
+func (f *fleet) allReady() bool {
+	for _, v := range f.vms {
+		if !v.ready(f.client) {
+			return false
+		}
+	}
+	return true
+}
+
+// patience bounds each wait for something that comes by itself.
+const patience = 60 * time.Second
+
+// timeoutError tells that something did not come in patience.
+type timeoutError struct{}
+
+func (timeoutError) Error() string { return "not there within " + patience.String() }
+
+func await(ctx context.Context, there func() bool) error {
+	for until := time.Now().Add(patience); !there(); {
+		if ctx.Err() != nil || time.Now().After(until) {
+			return timeoutError{}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil
+}
+
+// faults sets what the store does wrong, as JSON.
+func (f *fleet) faults(text string) error {
+	resp, err := f.client.Post("http://"+f.storeAddr+"/faults", "application/json", strings.NewReader(text))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// close ends all that the fleet started.
+func (f *fleet) close() {
+	f.stop()
+	var ends sync.WaitGroup
+	for _, v := range f.vms {
+		ends.Go(v.stop)
+	}
+	ends.Wait()
+	f.done.Wait()
+	if f.store != nil {
+		_ = f.store.Signal(syscall.SIGCONT)
+		_ = f.store.Kill()
+		_, _ = f.store.Wait()
+	}
+}
+
+// logs returns the findings that the processes' own output holds.
+func (f *fleet) logs() []violation {
+	var found []violation
+	for _, v := range f.vms {
+		data, err := os.ReadFile(v.log)
+		if err != nil {
+			found = append(found, violation{"log", err.Error()})
+		}
+		for _, sign := range []string{"DATA RACE", "panic: ", "fatal error: "} {
+			if bytes.Contains(data, []byte(sign)) {
+				found = append(found, violation{"log", fmt.Sprintf("VM %d: %s", v.number, sign)})
+			}
+		}
+	}
+	return found
+}
+
+// operator changes the configuration, which moves the probe route each time.
+type operator struct {
+	fleet *fleet
+	store *objects.Client
+
+	mu      sync.Mutex
+	number  int
+	current objects.Object
+}
+
+const (
+	configKind = "config"
+	configName = "main"
+)
+
+func newOperator(f *fleet) *operator {
+	client, err := store.New(objects.Options{Endpoint: "http://" + f.storeAddr, Timeout: 2 * time.Second})
+	if err != nil {
+		f.fail(err)
+	}
+	return &operator{fleet: f, store: client}
+}
+
+// change writes the next version. One whose answer is lost may be in force, so
+// it counts as sent.
+func (o *operator) change(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.number++
+	next := version{number: o.number, sentAt: time.Now(), probe: services[o.number%2]}
+	value, err := json.Marshal(configuration(next))
+	if err != nil {
+		o.fleet.fail(err)
+		return
+	}
+	add(o.fleet.record, &o.fleet.record.versions, next)
+	if o.current.Name == "" {
+		o.current, err = o.store.Create(ctx, configKind, configName, value)
+	} else {
+		o.current.Value = value
+		var written objects.Object
+		if written, err = o.store.Update(ctx, o.current); err == nil {
+			o.current = written
+		}
+	}
+	if err != nil && o.number == 1 {
+		o.fleet.fail(err)
+	}
+	if err != nil {
+		if stored, getErr := o.store.Get(ctx, configKind, configName); getErr == nil {
+			o.current = stored
+		}
+	}
+}
+
+func configuration(v version) map[string]any {
+	route := func(name, prefix, kind, service string, priority int) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service,
+			"timeout_s": routeTimeout.Seconds(), "target_latency_s": 1, "priority": priority, "attempts": routeAttempts,
+		}
+	}
+	return map[string]any{
+		"version": fmt.Sprintf("r%d", 3*v.number),
+		"routes": []any{
+			route("browse", pathBrowse, "safe", "web", 2),
+			route("file", pathFile, "unsafe", "filing", 0),
+			route("look", pathLook, "safe", "stock", 0),
+			route("probe", pathProbe, "safe", v.probe, 2),
+		},
+		"services": []any{map[string]any{"name": "web"}, map[string]any{"name": "filing"}, map[string]any{"name": "stock"}},
+		"limits":   map[string]any{"idle_timeout_s": 15},
+	}
+}
+
+// Terms of the routes.
+const (
+	routeTimeout  = 2 * time.Second
+	routeAttempts = 2
+)
+
+func fleetTerms(timed bool) terms {
+	return terms{
+		allowed: map[string][]string{
+			pathBrowse: {"web"}, pathFile: {"filing"}, pathLook: {"stock"}, pathProbe: {"web", "filing"},
+		},
+		attempts: routeAttempts, timeout: routeTimeout, drain: 2 * time.Second,
+		retryRatio: 0.2, retrySlack: 20, retryWindow: 10 * time.Second, maxLateShare: 0.25, timed: timed,
+	}
+}
+
+// prefixOf returns the route's prefix of a path.
+func prefixOf(path string) string {
+	if i := strings.IndexByte(path[1:], '/'); i >= 0 {
+		return path[:i+2]
+	}
+	return path
+}
+
+// directClient has customers whose connections stay open between requests.
+func directClient() *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1}}
+}
--- /dev/null
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -0,0 +1,280 @@
+package soak
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// terms are the bounds that the fleet's settings and routes give.
+type terms struct {
+	// allowed has the services that some configuration lets each route prefix
+	// lead to, attempts the upstreams that one request may be sent to.
+	allowed  map[string][]string
+	attempts int
+	timeout  time.Duration
+
+	drain        time.Duration
+	retryRatio   float64
+	retrySlack   float64
+	retryWindow  time.Duration
+	maxLateShare float64
+	// timed adds the checks that go by the clock. They need a machine that is
+	// not busy with other work.
+	timed bool
+}
+
+// violation is one broken promise.
+type violation struct{ rule, detail string }
+
+func (v violation) String() string { return v.rule + ": " + v.detail }
+
+// judge returns the promises that the record shows broken.
+func judge(r *record, t terms) []violation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := newJudgement(r, t)
+	j.runsWereAsked()
+	j.unsafeRunsOnce()
+	j.refusalsAreTrue()
+	j.answersBelong()
+	j.attemptsAreBounded()
+	j.versionsDoNotGoBack()
+	j.processesStay()
+	if t.timed {
+		j.leavingGetsNothing()
+		j.retriesAreBounded()
+		j.answersComeInTime()
+	}
+	return j.found
+}
+
+// judgement is a record with its indexes.
+type judgement struct {
+	*record
+	terms
+	asked  map[string]sent
+	runsOf map[string][]run
+	found  []violation
+}
+
+func newJudgement(r *record, t terms) *judgement {
+	j := &judgement{record: r, terms: t, asked: make(map[string]sent), runsOf: make(map[string][]run)}
+	for _, s := range r.sent {
+		j.asked[s.id] = s
+	}
+	for _, x := range r.runs {
+		j.runsOf[x.id] = append(j.runsOf[x.id], x)
+	}
+	return j
+}
+
+func (j *judgement) add(rule, format string, args ...any) {
+	j.found = append(j.found, violation{rule: rule, detail: fmt.Sprintf(format, args...)})
+}
+
+// runsWereAsked: an upstream gets nothing that nobody sent, and nothing changed.
+func (j *judgement) runsWereAsked() {
+	for _, x := range j.runs {
+		s, ok := j.asked[x.id]
+		switch {
+		case !ok:
+			j.add("asked", "%s ran %s, which nobody sent", x.instance, x.id)
+		case s.method != x.method || s.path != x.path || s.body != x.body:
+			j.add("asked", "%s got %s %s with %d bytes for %s, sent %s %s with %d", x.instance, x.method, x.path, len(x.body), x.id, s.method, s.path, len(s.body))
+		case s.origin != x.origin:
+			j.add("asked", "%s was told that %s began at %q, it began at %q", x.instance, x.id, x.origin, s.origin)
+		case x.executed && !slices.Contains(j.allowed[prefixOf(x.path)], x.service):
+			j.add("route", "%s of %s ran %s", x.instance, x.service, x.path)
+		}
+	}
+}
+
+// unsafeRunsOnce: nothing unrepeatable runs twice.
+func (j *judgement) unsafeRunsOnce() {
+	for id, runs := range j.runsOf {
+		if j.asked[id].unsafe && executed(runs) > 1 {
+			j.add("once", "%s ran %d times", id, executed(runs))
+		}
+	}
+}
+
+// refusalsAreTrue: what is refused as not run has not run, and does not later.
+func (j *judgement) refusalsAreTrue() {
+	for _, a := range j.answers {
+		if promisesNotRun(a.status) && j.asked[a.id].unsafe && executed(j.runsOf[a.id]) > 0 {
+			j.add("not-run", "%s was answered %d and has run", a.id, a.status)
+		}
+	}
+}
+
+// answersBelong: a success is whole and that of the upstream which ran this
+// request; a failure with an upstream's signature has its status.
+func (j *judgement) answersBelong() {
+	for _, a := range j.answers {
+		if !a.whole || a.signature == "" && !a.success() {
+			continue
+		}
+		of := slices.IndexFunc(j.runsOf[a.id], func(x run) bool { return x.signature == a.signature })
+		switch {
+		case a.signature == "":
+			j.add("answer", "%s got a %d that no upstream signed", a.id, a.status)
+		case of < 0:
+			j.add("answer", "%s got an answer that belongs to another request", a.id)
+		case j.runsOf[a.id][of].status != a.status:
+			j.add("answer", "%s got %d, its upstream said %d", a.id, a.status, j.runsOf[a.id][of].status)
+		case a.success() && j.runsOf[a.id][of].answer != a.body:
+			j.add("answer", "%s got %d bytes as whole, its upstream sent %d", a.id, len(a.body), len(j.runsOf[a.id][of].answer))
+		}
+	}
+}
+
+// mostOverAttempts is how many requests may run on more upstreams than their
+// route's attempts.
+const mostOverAttempts = 3
+
+func (j *judgement) attemptsAreBounded() {
+	over := 0
+	for _, runs := range j.runsOf {
+		if executed(runs) > j.attempts {
+			over++
+		}
+	}
+	if over > mostOverAttempts {
+		j.add("attempts", "%d requests ran more than %d times", over, j.attempts)
+	}
+}
+
+// versionsDoNotGoBack: within one life of a process, what its probes show is
+// explained by versions in their order, none of them before it was sent.
+func (j *judgement) versionsDoNotGoBack() {
+	type life struct{ vm, incarnation int }
+	at := make(map[life]int)
+	for _, p := range j.probes {
+		l := life{p.vm, p.incarnation}
+		next := at[l]
+		for next < len(j.versions) && j.versions[next].probe != p.service {
+			next++
+		}
+		if next == len(j.versions) || j.versions[next].sentAt.After(p.at) {
+			j.add("version", "VM %d went back to an older configuration at %s", p.vm, p.at.Format(time.StampMilli))
+			return
+		}
+		at[l] = next
+	}
+}
+
+func (j *judgement) processesStay() {
+	for _, e := range j.ends {
+		j.add("process", "VM %d: process ended by itself: %s", e.vm, e.state)
+	}
+}
+
+// reaction is what the scheduler of a shared machine may add to a bound.
+const reaction = 500 * time.Millisecond
+
+// leavingGetsNothing: an upstream that leaves gets no request after the bound
+// that began with the acknowledgement.
+func (j *judgement) leavingGetsNothing() {
+	left := make(map[string]leave)
+	for _, l := range j.leaves {
+		if _, ok := left[l.instance]; !ok {
+			left[l.instance] = l
+		}
+	}
+	for _, x := range j.runs {
+		l, ok := left[x.instance]
+		if ok && x.executed && x.at.After(l.at.Add(j.drain+reaction)) && j.calm(x.vm, l.at, x.at) {
+			j.add("drain", "%s got %s %s after its leaving was acknowledged", x.instance, x.id, x.at.Sub(l.at))
+		}
+	}
+}
+
+// calm tells whether a VM had no fault in a span.
+func (j *judgement) calm(vm int, from, to time.Time) bool {
+	return !slices.ContainsFunc(j.disturbed, func(d disturbed) bool {
+		return d.vm == vm && d.from.Before(to) && d.to.After(from)
+	})
+}
+
+// retriesAreBounded: in each window a service gets no more repeated arrivals
+// than the share of its requests and the slack.
+func (j *judgement) retriesAreBounded() {
+	repeats := make(map[string][]time.Time)
+	firsts := make(map[string][]time.Time)
+	for _, runs := range j.runsOf {
+		for i, x := range runs {
+			if i == 0 {
+				firsts[x.service] = append(firsts[x.service], x.at)
+			} else {
+				repeats[x.service] = append(repeats[x.service], x.at)
+			}
+		}
+	}
+	for service, at := range repeats {
+		slices.SortFunc(at, time.Time.Compare)
+		for i := range at {
+			until := at[i].Add(j.retryWindow)
+			most := j.retryRatio*float64(within(firsts[service], at[i], until)) + j.retrySlack
+			if got := within(at, at[i], until); float64(got) > most {
+				j.add("retries", "%s got %d repeats in one window, at most %.0f", service, got, most)
+				break
+			}
+		}
+	}
+}
+
+func within(at []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range at {
+		if !t.Before(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// leastLate is how many late answers make a finding.
+const leastLate = 8
+
+// answersComeInTime: the route's timeout is kept at VMs without a fault.
+func (j *judgement) answersComeInTime() {
+	all, late := 0, 0
+	for _, a := range j.answers {
+		if a.status == 0 || !j.calm(a.vm, a.at.Add(-a.took-reaction), a.at) {
+			continue
+		}
+		all++
+		if a.took > j.timeout+reaction {
+			late++
+		}
+	}
+	if late >= leastLate && float64(late) > j.maxLateShare*float64(all) {
+		j.add("timeout", "%d of %d answers came later than the route's timeout", late, all)
+	}
+}
+
+func executed(runs []run) int {
+	n := 0
+	for _, x := range runs {
+		if x.executed {
+			n++
+		}
+	}
+	return n
+}
+
+// promisesNotRun tells the statuses that say "not run".
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{408, 421, 429, 503}, status)
+}
+
+// rules lists what was broken, once each.
+func rules(found []violation) []string {
+	seen := make(map[string]bool)
+	for _, v := range found {
+		seen[v.rule] = true
+	}
+	return slices.Sorted(maps.Keys(seen))
+}
--- /dev/null
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -0,0 +1,238 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fault is a kind of fault.
+type fault string
+
+// The kinds of faults.
+const (
+	killNode        fault = "kill"
+	termNode        fault = "term"
+	pauseNode       fault = "pause"
+	reloadNode      fault = "reload"
+	rewriteSettings fault = "rewrite"
+	crashUpstream   fault = "crash-upstream"
+	replaceUpstream fault = "replace-upstream"
+	slowUpstream    fault = "slow-upstream"
+	faultyUpstream  fault = "faulty-upstream"
+	cutStore        fault = "cut-store"
+	cutPeers        fault = "cut-peers"
+	cutOneWay       fault = "cut-one-way"
+	silenceLinks    fault = "silence"
+	resetLinks      fault = "reset"
+	delayLinks      fault = "delay"
+	storeDown       fault = "store-down"
+	storeSlow       fault = "store-slow"
+	storeLoses      fault = "store-loses"
+	storeForgets    fault = "store-forgets"
+	storePaused     fault = "store-paused"
+	changeConfig    fault = "change"
+	killAll         fault = "kill-all"
+)
+
+var faults = []fault{
+	killNode, termNode, pauseNode, reloadNode, rewriteSettings, crashUpstream, replaceUpstream, slowUpstream,
+	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
+	storeLoses, storeForgets, storePaused, changeConfig, killAll,
+}
+
+// step is one fault of a plan.
+type step struct {
+	at    time.Duration
+	fault fault
+	vms   []int
+	// lasts is how long it is there, where that makes sense.
+	lasts time.Duration
+}
+
+// Shape of a plan.
+const (
+	faultsPerSecond = 1.2
+	// series is the share of faults that come again at once, elsewhere.
+	series     = 0.35
+	longest    = 3 * time.Second
+	mostAtOnce = 3
+	// changesPerSecond is how often the operator changes the configuration,
+	// besides the faults, so that changes meet all of them.
+	changesPerSecond = 0.7
+)
+
+// draw returns the plan of a seed: faults in series that overlap.
+func draw(seed uint64, vms int, span time.Duration) []step {
+	r := rand.New(rand.NewPCG(seed, 0))
+	var steps []step
+	for range int(span.Seconds() * faultsPerSecond) {
+		s := step{at: time.Duration(r.Int64N(int64(span))), fault: faults[r.IntN(len(faults))], lasts: time.Duration(r.Int64N(int64(longest)))}
+		s.vms = r.Perm(vms)[:1+r.IntN(min(mostAtOnce, vms))]
+		steps = append(steps, s)
+		for again := s; r.Float64() < series; {
+			again.at += time.Duration(r.Int64N(int64(time.Second)))
+			again.vms = r.Perm(vms)[:1]
+			steps = append(steps, again)
+		}
+	}
+	for range int(span.Seconds() * changesPerSecond) {
+		steps = append(steps, step{at: time.Duration(r.Int64N(int64(span))), fault: changeConfig})
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
+	return steps
+}
+
+// A seed that failed must bring the same faults again.
+func TestPlanFollowsFromItsSeed(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(5) {
+		c.Check(draw(seed, 6, 10*time.Second), qt.CmpEquals(cmpSteps), draw(seed, 6, 10*time.Second))
+	}
+	c.Check(fmt.Sprint(draw(1, 6, 10*time.Second)), qt.Not(qt.Equals), fmt.Sprint(draw(2, 6, 10*time.Second)))
+}
+
+// play plays a plan to its end.
+func (f *fleet) play(ctx context.Context, steps []step) {
+	start := time.Now()
+	for _, s := range steps {
+		pause(ctx, time.Until(start.Add(s.at)))
+		if ctx.Err() != nil {
+			return
+		}
+		f.done.Go(func() { f.strike(ctx, s) })
+	}
+}
+
+// strike brings one fault and ends it.
+func (f *fleet) strike(ctx context.Context, s step) {
+	from := time.Now()
+	switch s.fault {
+	case storeDown, storeSlow, storeLoses, storeForgets, storePaused:
+		f.strikeStore(ctx, s)
+	case changeConfig:
+		f.operator.change(ctx)
+		return
+	default:
+		vms := s.vms
+		if s.fault == killAll {
+			vms = nil
+			for i := range f.vms {
+				vms = append(vms, i)
+			}
+		}
+		for _, i := range vms {
+			f.done.Go(func() {
+				f.strikeVM(ctx, f.vms[i], s)
+				// What was held up is on its way for a moment longer.
+				add(f.record, &f.record.disturbed, disturbed{vm: i, from: from, to: time.Now().Add(3 * time.Second)})
+			})
+		}
+	}
+}
+
+func (f *fleet) strikeStore(ctx context.Context, s step) {
+	texts := map[fault]string{storeDown: `{"down":true}`, storeSlow: `{"delay_ms":400}`, storeLoses: `{"drop_probability":0.4}`, storeForgets: `{"compact":true}`}
+	if s.fault == storePaused {
+		_ = f.store.Signal(syscall.SIGSTOP)
+		pause(ctx, s.lasts)
+		_ = f.store.Signal(syscall.SIGCONT)
+		return
+	}
+	// A store that stands still takes no fault; the plan goes on.
+	_ = f.faults(texts[s.fault])
+	pause(ctx, s.lasts)
+	_ = f.faults("{}")
+}
+
+// strikeVM brings a fault to one VM, and returns when it is over.
+func (f *fleet) strikeVM(ctx context.Context, v *vm, s step) {
+	switch s.fault {
+	case killNode, killAll:
+		v.signal(syscall.SIGKILL, true)
+	case termNode:
+		v.terminate(ctx)
+	case pauseNode:
+		v.signal(syscall.SIGSTOP, false)
+		pause(ctx, s.lasts)
+		v.signal(syscall.SIGCONT, false)
+	case reloadNode:
+		f.check(v.writeSettings(int(s.at)))
+		v.signal(syscall.SIGHUP, false)
+	case rewriteSettings:
+		f.check(v.writeSettings(int(s.at)))
+	default:
+		f.strikeUpstream(ctx, v, s)
+		f.strikeLinks(ctx, v, s)
+	}
+}
+
+func (f *fleet) strikeUpstream(ctx context.Context, v *vm, s step) {
+	u := v.upstream
+	switch s.fault {
+	case crashUpstream:
+		u.crash()
+		pause(ctx, s.lasts)
+		f.check(u.start())
+	case replaceUpstream:
+		u.replace(ctx, f.terms.drain)
+	case slowUpstream:
+		u.work.Store(int64(40 * usualWork))
+		pause(ctx, s.lasts)
+		u.work.Store(int64(usualWork))
+	case faultyUpstream:
+		u.odds.Store(&odds{lose: 0.1, truncate: 0.05, extra: 0.05, unframed: 0.05, shed: 0.1})
+		pause(ctx, s.lasts)
+		u.odds.Store(&odds{})
+	}
+}
+
+func (f *fleet) strikeLinks(ctx context.Context, v *vm, s step) {
+	between := []*proxy{v.proxies[portPeerProxy], v.proxies[portGossipProxy]}
+	switch s.fault {
+	case cutStore:
+		holdFor(ctx, s.lasts, true, v.proxies[portStoreProxy])
+	case cutPeers:
+		holdFor(ctx, s.lasts, true, between...)
+	case cutOneWay:
+		holdFor(ctx, s.lasts, false, between...)
+	case silenceLinks:
+		for _, p := range v.proxies {
+			p.silence()
+		}
+	case resetLinks:
+		for _, p := range v.proxies {
+			p.resetAll()
+		}
+	case delayLinks:
+		for _, p := range v.proxies {
+			p.slow(20 * time.Millisecond)
+		}
+		pause(ctx, s.lasts)
+		for _, p := range v.proxies {
+			p.slow(0)
+		}
+	}
+}
+
+func holdFor(ctx context.Context, d time.Duration, bothWays bool, proxies ...*proxy) {
+	for _, p := range proxies {
+		p.hold(true, bothWays)
+	}
+	pause(ctx, d)
+	for _, p := range proxies {
+		p.hold(false, false)
+	}
+}
+
+func (f *fleet) check(err error) {
+	if err != nil {
+		f.fail(err)
+	}
+}
--- /dev/null
+++ b/cmd/pollengauge/soak/soak_test.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
+
+	"pollengauge.dev/cmd/pollengauge/internal/cli"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", 0, "play the plan of this seed only")
+	seedsFlag = flag.Int("seeds", 0, "play this many fresh seeds, with the checks that go by the clock")
+	forFlag   = flag.Duration("for", 4*time.Second, "how long the faults of one seed last")
+	vmsFlag   = flag.Int("vms", 6, "VMs of the fleet")
+	keepFlag  = flag.String("keep", os.TempDir(), "folder for the logs of seeds that failed")
+)
+
+var cmpSteps = cmp.AllowUnexported(step{})
+
+// TestMain is the test, or, as a child of one, the real command line.
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// regressions are seeds that once failed, with what they showed.
+var regressions = []struct {
+	seed uint64
+	why  string
+}{}
+
+// shortSeed is played where no seed is asked for.
+const shortSeed = 1
+
+// Load of a fleet.
+const (
+	customersEach = 3
+	thinkTime     = 40 * time.Millisecond
+)
+
+// Customers keep sending while VMs, upstreams, links and the store fail in
+// series that overlap. Each promise holds throughout, and once all faults have
+// ended every VM serves its customers again.
+func TestPromisesHoldUnderDrawnFaults(t *testing.T) {
+	switch {
+	case *seedFlag != 0:
+		playSeed(t, *seedFlag, true)
+	case *seedsFlag > 0:
+		for range *seedsFlag {
+			playSeed(t, rand.Uint64()%1_000_000, true)
+		}
+	default:
+		playSeed(t, shortSeed, false)
+		for _, r := range regressions {
+			playSeed(t, r.seed, false)
+		}
+	}
+}
+
+// playSeed plays one seed as a subtest. Checks by the clock are left out where
+// the verdict must not depend on how busy the machine is.
+func playSeed(t *testing.T, seed uint64, timed bool) {
+	t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		c := qt.New(t)
+		folder, err := os.MkdirTemp(*keepFlag, fmt.Sprintf("soak-%d-", seed))
+		c.Assert(err, qt.IsNil)
+		found, summary := soak(t.Context(), c, folder, seed, timed)
+		c.Logf("seed %d: %s", seed, summary)
+		for _, v := range found {
+			c.Errorf("seed %d: %s", seed, v)
+		}
+		if c.Failed() {
+			c.Logf("logs are in %s", folder)
+			return
+		}
+		c.Check(os.RemoveAll(folder), qt.IsNil)
+	})
+}
+
+// soak plays a seed and returns what was broken.
+func soak(ctx context.Context, c *qt.C, folder string, seed uint64, timed bool) ([]violation, string) {
+	f, err := newFleet(ctx, folder, *vmsFlag, fleetTerms(timed))
+	defer f.close()
+	c.Assert(err, qt.IsNil)
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	f.load(loadCtx, customersEach, thinkTime)
+	f.play(ctx, draw(seed, *vmsFlag, *forFlag))
+	// The longest fault, or the drain of an upstream, is over then.
+	pause(ctx, longest+f.terms.drain+time.Second)
+	recovery := f.recovery(ctx)
+	stopLoad()
+	// What was refused or given up must not run later either.
+	pause(ctx, customerDeadline)
+	c.Assert(f.failed, qt.IsNil)
+	return append(append(judge(f.record, f.terms), recovery...), f.logs()...), f.summary()
+}
+
+// Recovery: the share of a VM's recent requests that must be served.
+const (
+	recovered      = 0.9
+	recoveryWindow = 2 * time.Second
+	leastRequests  = 20
+)
+
+// recovery waits until each VM serves again.
+func (f *fleet) recovery(ctx context.Context) []violation {
+	var found []violation
+	for _, v := range f.vms {
+		err := await(ctx, func() bool {
+			all, good := f.record.served(v.number, time.Now().Add(-recoveryWindow))
+			return all >= leastRequests && float64(good) >= recovered*float64(all)
+		})
+		if err != nil {
+			found = append(found, violation{"recovery", fmt.Sprintf("VM %d does not serve again: %v", v.number, err)})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -0,0 +1,334 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Headers between customers, nodes and upstreams.
+const (
+	headerID        = "Pollengauge-Request-Id"
+	headerTimeout   = "Pollengauge-Timeout-Remaining"
+	headerSignature = "Pollengauge-Server-Signature"
+	headerExpected  = "Pollengauge-Expected-Instance"
+	headerNotRun    = "Pollengauge-Not-Executed"
+	headerOrigin    = "Pollengauge-Caller-Service"
+	headerInstance  = "Pollengauge-Instance-Id"
+)
+
+// Sizes and times of an upstream.
+const (
+	upstreamSlots  = 24
+	heartbeatEvery = 500 * time.Millisecond
+	heartbeatWait  = time.Second
+	usualWork      = 10 * time.Millisecond
+)
+
+// odds are the shares of requests with which an upstream misbehaves.
+type odds struct{ lose, truncate, extra, unframed, shed float64 }
+
+// upstream is a stand-in of one server: one incarnation after another at one
+// address.
+type upstream struct {
+	record  *record
+	vm      int
+	service string
+	addr    string
+	// outbound and control are the addresses of its node.
+	outbound, control string
+	calls             []plannedCall
+	client            *http.Client
+
+	odds  atomic.Pointer[odds]
+	work  atomic.Int64
+	count atomic.Uint64
+
+	mu       sync.Mutex
+	instance string
+	state    string
+	sequence int
+	server   *http.Server
+	slots    chan struct{}
+	starts   int
+}
+
+// plannedCall is a call that each run makes.
+type plannedCall struct {
+	path  string
+	times int
+}
+
+// start begins the next incarnation, unless one is there: faults that overlap
+// may each want to end with a start.
+func (u *upstream) start() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.server != nil {
+		return nil
+	}
+	listener, err := listenAgain(u.addr)
+	if err != nil {
+		return err
+	}
+	u.starts++
+	u.instance = fmt.Sprintf("i-%d-%d", u.vm, u.starts)
+	u.state = "ready"
+	u.sequence = 0
+	u.slots = make(chan struct{}, upstreamSlots)
+	life := &incarnation{upstream: u, instance: u.instance, slots: u.slots}
+	u.server = &http.Server{Handler: life, ReadHeaderTimeout: time.Minute}
+	go func(s *http.Server) { _ = s.Serve(listener) }(u.server)
+	return nil
+}
+
+// listenAgain takes an address that the last incarnation may still hold.
+func listenAgain(addr string) (listener net.Listener, err error) {
+	for range 100 {
+		if listener, err = net.Listen("tcp", addr); err == nil {
+			return listener, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil, err
+}
+
+// crash breaks all connections at once.
+func (u *upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.server != nil {
+		_ = u.server.Close()
+		u.server = nil
+	}
+}
+
+// beat sends heartbeats until ctx ends.
+func (u *upstream) beat(ctx context.Context) {
+	tick := time.NewTicker(heartbeatEvery)
+	defer tick.Stop()
+	for {
+		u.mu.Lock()
+		up, instance, state := u.server != nil, u.instance, u.state
+		u.sequence++
+		sequence := u.sequence
+		u.mu.Unlock()
+		if up {
+			u.tell(ctx, instance, state, sequence)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (u *upstream) tell(ctx context.Context, instance, state string, sequence int) {
+	body, _ := json.Marshal(map[string]any{
+		"address":     u.addr,
+		"information": map[string]any{"service": u.service, "slots": upstreamSlots},
+		"status":      map[string]any{"state": state, "sequence": sequence},
+	})
+	ctx, cancel := context.WithTimeout(ctx, heartbeatWait)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.control+"/-/Instances.Heartbeat/"+instance, bytes.NewReader(body))
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusOK && state == "draining" {
+		add(u.record, &u.record.leaves, leave{instance: instance, vm: u.vm, at: time.Now()})
+	}
+}
+
+// replace has the incarnation drain, leave and be followed by another.
+func (u *upstream) replace(ctx context.Context, drain time.Duration) {
+	u.mu.Lock()
+	u.state = "draining"
+	u.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(drain + time.Second):
+	}
+	u.crash()
+	_ = u.start()
+}
+
+// incarnation serves one life of an upstream.
+type incarnation struct {
+	*upstream
+	instance string
+	slots    chan struct{}
+}
+
+func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	x := run{
+		id: r.Header.Get(headerID), at: time.Now(), vm: i.vm, service: i.service, instance: i.instance,
+		method: r.Method, path: r.URL.RequestURI(), body: string(body), origin: r.Header.Get(headerOrigin),
+	}
+	w.Header().Set(headerInstance, i.instance)
+	if expected := r.Header.Get(headerExpected); expected != "" && expected != i.instance {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeoutOf(r.Header))
+	defer cancel()
+	misbehaves := i.odds.Load()
+	if rand.Float64() < misbehaves.shed || !i.enter(ctx) {
+		x.status = http.StatusServiceUnavailable
+		add(i.record, &i.record.runs, x)
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-i.slots }()
+	x.executed = true
+	x.status = i.execute(ctx, x.id)
+	x.signature = signature(x.id, i.instance, i.count.Add(1))
+	x.answer = strings.Repeat(x.signature, 1+rand.IntN(200))
+	// Recorded before it is sent, or an answer could be judged without its run.
+	add(i.record, &i.record.runs, x)
+	i.respond(w, x, misbehaves)
+}
+
+// enter takes a slot, for at most what the request has left.
+func (i *incarnation) enter(ctx context.Context) bool {
+	select {
+	case i.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// execute works, makes the calls and returns the status.
+func (i *incarnation) execute(ctx context.Context, id string) int {
+	select {
+	case <-ctx.Done():
+		return http.StatusGatewayTimeout
+	case <-time.After(time.Duration(i.work.Load())):
+	}
+	for _, c := range i.calls {
+		for range c.times {
+			if !i.callOut(ctx, id, c.path) {
+				return http.StatusInternalServerError
+			}
+		}
+	}
+	return http.StatusOK
+}
+
+func (i *incarnation) callOut(ctx context.Context, parent, path string) bool {
+	id := parent + "." + newID()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.outbound+path+id, nil)
+	req.Host = host
+	req.Header.Set(headerID, id)
+	left := time.Second
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
+	req.Header.Set(headerTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	add(i.record, &i.record.sent, sent{id: id, vm: i.vm, at: time.Now(), path: path + id, method: http.MethodGet, origin: i.service})
+	a := ask(i.client, req, id, i.vm)
+	add(i.record, &i.record.answers, a)
+	return a.success()
+}
+
+// respond answers, now and then wrongly.
+func (i *incarnation) respond(w http.ResponseWriter, x run, misbehaves *odds) {
+	h := w.Header()
+	h.Set(headerID, x.id)
+	h.Set(headerSignature, x.signature)
+	draw := rand.Float64()
+	switch {
+	case draw < misbehaves.lose:
+		panic(http.ErrAbortHandler)
+	case draw < misbehaves.lose+misbehaves.truncate:
+		h.Set("Content-Length", strconv.Itoa(len(x.answer)+1))
+		w.WriteHeader(x.status)
+		_, _ = io.WriteString(w, x.answer)
+		panic(http.ErrAbortHandler)
+	case draw < misbehaves.lose+misbehaves.truncate+misbehaves.extra:
+		i.respondTwice(w, x)
+		return
+	case draw < misbehaves.lose+misbehaves.truncate+misbehaves.extra+misbehaves.unframed:
+		i.respondRaw(w, x, "Connection: close\r\n")
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(len(x.answer)))
+	w.WriteHeader(x.status)
+	_, _ = io.WriteString(w, x.answer)
+}
+
+// lateExtra is when a second answer comes, which nobody asked for.
+const lateExtra = 30 * time.Millisecond
+
+// respondTwice sends the answer again where the next one is due.
+func (i *incarnation) respondTwice(w http.ResponseWriter, x run) {
+	i.respondRaw(w, x, fmt.Sprintf("Content-Length: %d\r\n", len(x.answer)))
+}
+
+// respondRaw writes the answer on the bare connection. With a length it is
+// followed by the same answer once more.
+func (i *incarnation) respondRaw(w http.ResponseWriter, x run, framing string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	answer := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: %s\r\n%s\r\n%s", x.status, headerID, x.id, headerSignature, x.signature, framing, x.answer)
+	_, _ = io.WriteString(conn, answer)
+	if strings.HasPrefix(framing, "Content-Length") {
+		time.Sleep(lateExtra)
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(lateExtra)
+	}
+}
+
+func timeoutOf(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(headerTimeout), 10, 64)
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func signature(id, instance string, n uint64) string {
+	sum := sha256.Sum256([]byte(id + instance + strconv.FormatUint(n, 10)))
+	return hex.EncodeToString(sum[:8])
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// ask sends a request and returns what came of it.
+func ask(client *http.Client, req *http.Request, id string, vm int) answered {
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return answered{id: id, vm: vm, at: time.Now(), took: time.Since(start)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answered{
+		id: id, vm: vm, at: time.Now(), took: time.Since(start), status: resp.StatusCode,
+		signature: resp.Header.Get(headerSignature), body: string(body), whole: err == nil,
+	}
+}
--- /dev/null
+++ b/cmd/pollengauge/soak/vm_test.go
@@ -0,0 +1,230 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports of a VM; each VM has an address of its own.
+const (
+	portInbound  = "8300"
+	portReady    = "8302"
+	portOutbound = "8304"
+	portControl  = "8306"
+	portGossip   = 7620
+	// The proxies' ports, and the upstream's own one behind its proxy.
+	portStoreProxy    = "8400"
+	portUpstreamProxy = "8401"
+	portUpstream      = "8402"
+	portPeerProxy     = "8403"
+	portGossipProxy   = "8404"
+	portCustomerProxy = "8405"
+)
+
+// Times of a process.
+const (
+	grace        = 6 * time.Second
+	restartDelay = 300 * time.Millisecond
+)
+
+// program is the process of this repository's binary: the test's own file,
+// which TestMain turns into the command line.
+const programVariable = "POLLENGAUGE_SOAK_PROGRAM"
+
+// startProgram starts the real command line with its output in a file.
+func startProgram(logPath string, args ...string) (*os.Process, error) {
+	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = out.Close() }()
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	return os.StartProcess(self, append([]string{"pollengauge"}, args...), &os.ProcAttr{
+		Env:   append(os.Environ(), programVariable+"=1"),
+		Files: []*os.File{nil, out, out},
+	})
+}
+
+// vm is one VM: its node's process, its upstream, and the proxies around them.
+type vm struct {
+	fleet    *fleet
+	number   int
+	ip       string
+	zone     string
+	upstream *upstream
+	proxies  map[string]*proxy
+	settings string
+	log      string
+
+	mu sync.Mutex
+	// process is nil between an end and the next start; incarnation counts
+	// starts. wanted is false once the process has been told to end.
+	process     *os.Process
+	incarnation int
+	wanted      bool
+	done        sync.WaitGroup
+	stopped     bool
+}
+
+func (v *vm) at(port string) string { return v.ip + ":" + port }
+
+// prepare starts the proxies and writes the settings file.
+func (v *vm) prepare() error {
+	v.proxies = make(map[string]*proxy)
+	for port, target := range map[string]string{
+		portStoreProxy:    v.fleet.storeAddr,
+		portUpstreamProxy: v.at(portUpstream),
+		portPeerProxy:     v.at(portInbound),
+		portGossipProxy:   fmt.Sprintf("%s:%d", v.ip, portGossip),
+		portCustomerProxy: v.at(portOutbound),
+	} {
+		p, err := newProxy(v.at(port), target)
+		if err != nil {
+			return err
+		}
+		v.proxies[port] = p
+	}
+	return v.writeSettings(0)
+}
+
+// writeSettings writes the platform's settings file. The look number makes each
+// content another.
+func (v *vm) writeSettings(look int) error {
+	data, err := json.Marshal(map[string]any{
+		"self": map[string]any{
+			"node": fmt.Sprintf("vm-%d", v.number), "ip": v.ip, "zone": v.zone, "region": "region-1",
+			"service": v.upstream.service, "app_address": v.at(portUpstreamProxy),
+			"limits": map[string]any{"memory_mb": 284, "file_descriptors": 4100}, "look": look,
+		},
+		"network": map[string]any{
+			"listen": map[string]any{
+				"inbound": v.at(portInbound), "outbound": v.at(portOutbound),
+				"ready": v.at(portReady), "control": v.at(portControl),
+			},
+			"internal_ports": []int{portGossip, portGossip + 15},
+		},
+		"platform": map[string]any{"platform": map[string]any{"address": v.at(portStoreProxy), "writes_per_s": 400, "reads_per_s": 2000}},
+		"terms": map[string]any{"bounds": map[string]any{
+			"grace_s": grace.Seconds(), "drain_s": v.fleet.terms.drain.Seconds(), "budget_ratio": v.fleet.terms.retryRatio,
+			"budget_window_s": v.fleet.terms.retryWindow.Seconds(), "budget_slack": v.fleet.terms.retrySlack,
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	next := v.settings + ".next"
+	if err := os.WriteFile(next, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, v.settings)
+}
+
+// start starts the node's process and starts it again whenever it ends.
+func (v *vm) start() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopped {
+		return nil
+	}
+	process, err := startProgram(v.log, "sidecar", "--settings", v.settings,
+		"--advertise-peer", v.at(portPeerProxy), "--advertise-gossip", v.at(portGossipProxy))
+	if err != nil {
+		return err
+	}
+	v.process, v.wanted = process, true
+	v.incarnation++
+	v.done.Go(func() { v.supervise(process) })
+	return nil
+}
+
+func (v *vm) supervise(process *os.Process) {
+	state, err := process.Wait()
+	v.mu.Lock()
+	v.process = nil
+	unasked := v.wanted && !v.stopped
+	v.mu.Unlock()
+	if unasked {
+		text := "wait failed"
+		if err == nil {
+			text = state.String()
+		}
+		add(v.fleet.record, &v.fleet.record.ends, end{vm: v.number, at: time.Now(), state: text})
+	}
+	time.Sleep(restartDelay)
+	if err := v.start(); err != nil {
+		v.fleet.fail(err)
+	}
+}
+
+// signal sends a signal to the process, if there is one. With ends set the
+// process is expected to end of it.
+func (v *vm) signal(s syscall.Signal, ends bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process == nil {
+		return
+	}
+	if ends {
+		v.wanted = false
+	}
+	if err := v.process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		v.fleet.fail(err)
+	}
+}
+
+// terminate sends SIGTERM, and SIGKILL at the end of the grace period.
+func (v *vm) terminate(ctx context.Context) {
+	life := v.life()
+	v.signal(syscall.SIGTERM, true)
+	select {
+	case <-ctx.Done():
+	case <-time.After(grace):
+	}
+	if v.life() == life {
+		v.signal(syscall.SIGKILL, true)
+	}
+}
+
+func (v *vm) life() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.incarnation
+}
+
+// stop ends the VM for good.
+func (v *vm) stop() {
+	v.mu.Lock()
+	v.stopped = true
+	v.mu.Unlock()
+	v.signal(syscall.SIGCONT, false)
+	v.signal(syscall.SIGKILL, true)
+	v.done.Wait()
+	v.upstream.crash()
+	for _, p := range v.proxies {
+		p.close()
+	}
+}
+
+// ready asks the node as the platform does.
+func (v *vm) ready(client *http.Client) bool {
+	resp, err := client.Get("http://" + v.at(portReady) + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// logPath names a log file of the fleet.
+func (f *fleet) logPath(name string) string { return filepath.Join(f.folder, name+".log") }
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -46,7 +46,7 @@
 // free place, or over one whose node is known to be gone. Which node holds a
 // place is of no importance, so a lost race is left lost.
 func (n *Node) offerBootstrap(ctx context.Context, found []objects.Object) {
-	own := n.Addr("gossip")
+	own := n.gossipAddr()
 	taken := make(map[string]objects.Object, len(found))
 	for _, o := range found {
 		if string(o.Value) == own {
--- a/node/members.go
+++ b/node/members.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -17,8 +18,8 @@
 		Self: membership.Member{
 			ID:         n.id,
 			Service:    n.settings.Service,
-			Addr:       n.Addr("peer"),
-			GossipAddr: n.Addr("gossip"),
+			Addr:       cmp.Or(n.settings.AdvertisePeer, n.Addr(PeerListener)),
+			GossipAddr: n.gossipAddr(),
 			Zone:       n.settings.Zone,
 			Region:     n.settings.Region,
 		},
@@ -47,6 +48,11 @@
 	return gossip.Start(ctx)
 }
 
+// gossipAddr is where other nodes reach this node's membership.
+func (n *Node) gossipAddr() string {
+	return cmp.Or(n.settings.AdvertiseGossip, n.Addr(GossipListener))
+}
+
 // healInDialect is how often each node tries a member that is gone. Where nodes
 // are restarted at their addresses while the platform's store is away, only the
 // others can bring them back, and each second without them counts.
--- a/node/settings.go
+++ b/node/settings.go
@@ -27,6 +27,11 @@
 	// reaches them can spend this upstream's credit or drain it.
 	Edge, Peer, Outbound, Gossip, Admin string
 
+	// AdvertisePeer and AdvertiseGossip are the host:port at which other nodes
+	// reach the Peer and Gossip listeners where that is not the bound address,
+	// as behind port mapping. Empty is the bound address.
+	AdvertisePeer, AdvertiseGossip string
+
 	// PlatformURL is the platform's object API. Empty means that the node
 	// lives from its peers alone.
 	PlatformURL string
@@ -192,6 +197,8 @@
 	c.address("outbound", s.Outbound)
 	c.address("gossip", s.Gossip)
 	c.address("admin", s.Admin)
+	c.optionalAddress("advertise-peer", s.AdvertisePeer)
+	c.optionalAddress("advertise-gossip", s.AdvertiseGossip)
 	c.platformURL("platform", s.PlatformURL)
 	for _, peer := range s.Peers {
 		c.address("peers", peer)
@@ -243,6 +250,12 @@
 	}
 }
 
+func (c *checker) optionalAddress(name, value string) {
+	if value != "" {
+		c.address(name, value)
+	}
+}
+
 func (c *checker) platformURL(name, value string) {
 	if value == "" {
 		return
