node: calls beyond the bound at another node are refused at once

Cause: the transport held back calls beyond 48 connections to a node in a queue of its own. Ruled out: the gate (no queue wait), the way between the nodes.

Change: peerRoom bounds calls at one node and at all; one beyond it is proved not run and goes elsewhere, free. Reason peer-full.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -93,6 +93,9 @@
 	// ReasonAnswerNotHeld: the call completed, but its answer was too large or
 	// too old to be kept.
 	ReasonAnswerNotHeld Reason = "answer-not-held"
+	// ReasonPeerFull: the calling node has as many calls at that node, or at all
+	// others, as it may.
+	ReasonPeerFull Reason = "peer-full"
 	// ReasonBusy: the node itself has too little processor for what comes.
 	ReasonBusy Reason = "busy"
 	// ReasonNoConfig: the node knows no configuration yet.
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"pollengauge.dev/call"
@@ -101,7 +102,17 @@
 // attemptPeer sends the call to another node once. The outcome is what that
 // node reports, or unknown; a call that never left this process is not-run.
 func (n *Node) attemptPeer(ctx context.Context, addr string, req *request, lent int, home string) *answer {
-	callCtx, cancel := withDeadline(ctx, req.deadline)
+	if !n.peerRoom.enter(addr) {
+		a := n.refuse(call.NotRun, call.ReasonPeerFull, 0)
+		a.report.Hop = req.service
+		a.report.CreditLeft = lent
+		return a
+	}
+	callCtx, cancelCall := withDeadline(ctx, req.deadline)
+	cancel := sync.OnceFunc(func() {
+		cancelCall()
+		n.peerRoom.leave(addr)
+	})
 	out := n.peerRequest(addr, req, lent)
 	if home != "" {
 		out.Header.Set(call.HeaderHome, home)
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,7 @@
 	memberChanges *memberChanges
 	visits        *visits
 	peers         *http.Transport
+	peerRoom      *peerRoom
 
 	announceMu sync.Mutex
 	// announced is guarded by announceMu.
--- /dev/null
+++ b/node/peerroom_test.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Room is bounded by node and in all, and given back.
+func TestPeerRoomIsBounded(t *testing.T) {
+	c := qt.New(t)
+	room := newPeerRoom(2, 3)
+	c.Check(room.enter("a"), qt.IsTrue)
+	c.Check(room.enter("a"), qt.IsTrue)
+	c.Check(room.enter("a"), qt.IsFalse)
+	c.Check(room.enter("b"), qt.IsTrue)
+	c.Check(room.enter("c"), qt.IsFalse)
+	room.leave("a")
+	c.Check(room.enter("c"), qt.IsTrue)
+	room.leave("a")
+	room.leave("b")
+	room.leave("c")
+	c.Check(room.inUse, qt.Equals, 0)
+	c.Check(room.byAddr, qt.HasLen, 0)
+}
+
+// An upstream is slow, and more requests come for it than this node may have at
+// its VM. Those beyond must go to another upstream at once, or be refused as
+// not run: held back for a connection they would be answered too late, and
+// nobody would know why.
+func TestCallsDoNotWaitForAConnection(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		const work = time.Second
+		front := f.addRouted("front", "front", 10, echo, func(s *Settings) { s.PeerConns = 2 })
+		slow := func(w http.ResponseWriter, r *http.Request, c func(string, string, string) (*http.Response, error)) {
+			time.Sleep(work)
+			echo(w, r, c)
+		}
+		f.addRouted("one", "desk", 100, slow)
+		f.settle()
+		ask := func(n int) (served, refused int) {
+			var mu sync.Mutex
+			var asked sync.WaitGroup
+			for i := range n {
+				asked.Go(func() {
+					start := time.Now()
+					got := f.askRouted(front, "/browse/x", strconv.Itoa(i))
+					took := time.Since(start)
+					mu.Lock()
+					defer mu.Unlock()
+					if got.status == http.StatusOK {
+						served++
+						f.c.Check(took < work+work/2, qt.IsTrue, qt.Commentf("served after %s", took))
+						return
+					}
+					refused++
+					f.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+					f.c.Check(took < work/10, qt.IsTrue, qt.Commentf("refused after %s", took))
+				})
+			}
+			asked.Wait()
+			return served, refused
+		}
+		served, refused := ask(6)
+		f.c.Check(served, qt.Equals, 2)
+		f.c.Check(refused, qt.Equals, 4)
+		f.addRouted("two", "desk", 100, slow)
+		f.settle()
+		served, _ = ask(4)
+		f.c.Check(served, qt.Equals, 4)
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -45,8 +45,9 @@
 	// UpstreamConns bounds the connections to the local upstream. More than
 	// Slots only helps an upstream that answers out of order.
 	UpstreamConns int
-	// PeerConns bounds the connections to each other node.
-	PeerConns int
+	// PeerConns bounds the calls at each other node at once, and PeerCalls those
+	// at all of them; each takes a connection. More are refused as not run.
+	PeerConns, PeerCalls int
 	// EdgeConns and PeerInbound bound accepted connections, so that a flood
 	// of connections can't take the node's memory.
 	EdgeConns, PeerInbound int
@@ -153,6 +154,7 @@
 		Slots:          100,
 		UpstreamConns:  400,
 		PeerConns:      256,
+		PeerCalls:      4096,
 		EdgeConns:      10_000,
 		PeerInbound:    10_000,
 		MaxHeaderBytes: 32 << 10,
@@ -206,6 +208,7 @@
 	c.number("slots", s.Slots, 1, 100_000)
 	c.number("upstream-conns", s.UpstreamConns, 1, 100_000)
 	c.number("peer-conns", s.PeerConns, 1, 100_000)
+	c.number("peer-calls", s.PeerCalls, 1, 1_000_000)
 	c.number("edge-conns", s.EdgeConns, 1, 1_000_000)
 	c.number("peer-inbound", s.PeerInbound, 1, 1_000_000)
 	c.number("max-header-bytes", s.MaxHeaderBytes, 4<<10, 1<<20)
--- a/node/tls.go
+++ b/node/tls.go
@@ -57,13 +57,25 @@
 	return value
 }
 
+const (
+	// noConnLimit leaves the bound on connections to peerRoom, which refuses
+	// where the transport would wait.
+	noConnLimit = 0
+	// idlePeerPart is the part of the calls to other nodes for which idle
+	// connections are kept: calls take turns on them.
+	idlePeerPart = 4
+)
+
 // buildNetworks chooses the networks: one for callers, upstream and operator,
 // and one between nodes, with the transport for calls to them.
 func (n *Node) buildNetworks() error {
 	if err := n.chooseNetworks(); err != nil {
 		return err
 	}
-	n.peers = newTransport(n.between, n.settings.PeerConns)
+	n.peerRoom = newPeerRoom(n.settings.PeerConns, n.settings.PeerCalls)
+	n.peers = newTransport(n.between, noConnLimit)
+	n.peers.MaxIdleConnsPerHost = n.settings.PeerConns
+	n.peers.MaxIdleConns = max(n.settings.PeerCalls/idlePeerPart, 1)
 	// A node adds its report to what its upstream may answer.
 	n.peers.MaxResponseHeaderBytes = maxResponseHeader + nodeHeaderBytes
 	return nil
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -17,6 +17,7 @@
 	{call.ReasonLevelBelow, "a deeper hop would have refused it, so it was refused before any work was done", "Add capacity to the service that sheds, or raise the profile's priority if it must survive before others; top shows the levels in force now."},
 	{call.ReasonCancelled, "the caller went away before the answer", "Compare the caller's timeout with the profile's deadline; the shorter one decides."},
 	{call.ReasonDraining, "the node was draining and took no new work", "None while it is replaced; other nodes of the service should have taken the call. If none did, start more."},
+	{call.ReasonPeerFull, "the calling node has as many calls at that node, or at all others, as it may", "Find the slow service at which the calls pile up; raise peer-conns if its slots allow more."},
 	{call.ReasonBusy, "the node had too little processor time for what came", "See whether the VM is slow, or its processor share too small for its traffic."},
 	{call.ReasonNoConfig, "the node knows no configuration yet", "See whether the node reaches the platform or a peer."},
 	{call.ReasonNoRoute, "no route of the configuration in force has the request's host and path", "Compare the request with the routes; config_version tells which set was in force."},
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -147,7 +147,7 @@
 func BeforeUpstream(r call.Reason) bool {
 	switch r {
 	case call.ReasonConnect, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonLevel,
-		call.ReasonDraining, call.ReasonNoUpstream, call.ReasonBusy, call.ReasonNoConfig:
+		call.ReasonDraining, call.ReasonNoUpstream, call.ReasonBusy, call.ReasonPeerFull, call.ReasonNoConfig:
 		return true
 	}
 	return false
@@ -170,7 +170,7 @@
 // overload reports whether the reason is a refusal by policy.
 func overload(r call.Reason) bool {
 	switch r {
-	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamShed, call.ReasonBusy:
+	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamShed, call.ReasonBusy, call.ReasonPeerFull:
 		return true
 	}
 	return false
