--- a/cmd/pollengauge/soak/vm_test.go
+++ b/cmd/pollengauge/soak/vm_test.go
@@ -66,6 +66,8 @@
 	proxies  map[string]*proxy
 	settings string
 	log      string
+	// writing orders changes of the settings file.
+	writing sync.Mutex
 
 	mu sync.Mutex
 	// process is nil between an end and the next start; incarnation counts
@@ -123,6 +125,8 @@
 	if err != nil {
 		return err
 	}
+	v.writing.Lock()
+	defer v.writing.Unlock()
 	next := v.settings + ".next"
 	if err := os.WriteFile(next, data, 0o600); err != nil {
 		return err
