node: three seconds of slow start where a dialect is spoken

Cause: a node that was restarted beside its upstream got its share back over 10 s, although the upstream ran on; in the test 91 of 200 requests stayed in the zone 4 s after the restart.

Change: 3 s, as upstreams there are slow for that long after their own start.

--- a/node/members.go
+++ b/node/members.go
@@ -48,6 +48,20 @@
 	return gossip.Start(ctx)
 }
 
+// slowStartInDialect is how long a node that has come takes to get its full
+// share. Upstreams there are slow for three seconds after their start, and one
+// whose node alone was restarted is not slow at all. The routing's default of
+// 10 s sends most of a zone's calls to other zones after each restart: while the
+// nodes of a service restart in turn, the rest had to carry more than they can.
+const slowStartInDialect = 3 * time.Second
+
+func (n *Node) slowStart() time.Duration {
+	if n.spoken() {
+		return slowStartInDialect
+	}
+	return routing.DefaultSlowStart
+}
+
 // gossipAddr is where other nodes reach this node's membership.
 func (n *Node) gossipAddr() string {
 	return cmp.Or(n.settings.AdvertiseGossip, n.Addr(GossipListener))
--- a/node/node.go
+++ b/node/node.go
@@ -173,10 +173,11 @@
 	n.followRatio()
 	n.repeats = retry.NewRepeats(retry.RepeatsConfig{Seed: n.random(), Start: n.started})
 	n.router = routing.NewRouter(routing.Config{
-		Node:   n.id,
-		Zone:   s.Zone,
-		Region: s.Region,
-		Start:  n.started,
+		Node:      n.id,
+		Zone:      s.Zone,
+		Region:    s.Region,
+		Start:     n.started,
+		SlowStart: n.slowStart(),
 		// A gate that drains refuses by itself.
 		LastResort: n.spoken(),
 	})
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -283,6 +283,37 @@
 	})
 }
 
+// A zone's only node of a service is restarted beside its upstream, which runs
+// on. A few seconds later it must have its zone's requests again, or the other
+// zones carry them all while the next node restarts.
+func TestRestartedNodeHasItsZoneAgainSoon(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		zone := func(name string) func(*Settings) { return func(s *Settings) { s.Zone = name } }
+		front := f.addRouted("front", "front", 10, echo, zone("zone-a"))
+		here := f.addRouted("here", "desk", 100, echo, zone("zone-a"))
+		f.addRouted("there", "desk", 100, echo, zone("zone-b"))
+		f.settle()
+		f.askRouted(front, "/browse/x", "first")
+		here.Close()
+		delete(f.nodes, "here")
+		atHome := 0
+		f.addRouted("again", "desk", 100, func(w http.ResponseWriter, r *http.Request, c func(string, string, string) (*http.Response, error)) {
+			atHome++
+			echo(w, r, c)
+		}, zone("zone-a"))
+		ask := func(n int) {
+			for i := range n {
+				f.c.Check(f.askRouted(front, "/browse/x", strconv.Itoa(i)).status, qt.Equals, http.StatusOK)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		ask(400)
+		atHome = 0
+		ask(200)
+		f.c.Check(atHome > 180, qt.IsTrue, qt.Commentf("%d of 200", atHome))
+	})
+}
+
 // The upstream makes a call for a request that it runs. The call ranks as the
 // request, so a filing's lookup goes before a browser's, and ends with it.
 func TestCallsBelongToTheirRequest(t *testing.T) {
