Revert "routing: calls leave the zone of a target that turned slow"

Upstreams there serve short and long calls, so a mean over both tells as much of the mix as of the upstream, and the samples cost three calls in a hundred.

Conclusion: a slow upstream with slots to spare needs a mean for each profile, against the same profile at the others.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -25,9 +25,6 @@
 // less; it leaves the region only when that has none. When all are left out,
 // it takes one of those rather than none.
 func (c *choice) choose() (picked *member, probe bool) {
-	if candidate := c.unsampled(); candidate != nil {
-		return candidate, false
-	}
 	local, probe := c.best(c.view.zone, false)
 	if probe {
 		return local, true
@@ -63,38 +60,6 @@
 	return c.best(c.view.leaving, true)
 }
 
-const (
-	// fewInZone is the number of targets in the zone from which they tell by
-	// themselves which of them is slow.
-	fewInZone = 3
-	// sampleMillis is how long, in milliseconds, the latency of a target in
-	// another zone is known before one call goes there to measure it.
-	sampleMillis = 1000
-)
-
-// unsampled returns a target of another zone whose latency isn't known, now and
-// then, where the zone has too few targets for a comparison.
-//
-// The failure: the only target of a zone turned slow, calls to no other one
-// were measured, and so it was compared with itself.
-func (c *choice) unsampled() *member {
-	if !c.probe || len(c.view.zone) == 0 || len(c.view.zone) >= fewInZone {
-		return nil
-	}
-	for _, candidate := range c.view.region {
-		m := candidate.measure
-		due := m.nextSample.Load()
-		if c.at < due || c.at-m.latencyAt.Load() < sampleMillis || c.excluded(candidate) ||
-			m.drained(c.at, c.config) || m.ejectedFor(c.at, c.config) > 0 {
-			continue
-		}
-		if m.nextSample.CompareAndSwap(due, c.at+sampleMillis) {
-			return candidate
-		}
-	}
-	return nil
-}
-
 // chance returns a random number of thousandths, never the whole.
 func (c *choice) chance() int64 { return int64(c.next() % thousand) }
 
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -10,12 +10,6 @@
 	// when they all do.
 	avoidShare = 500
 	spillRange = 100
-	// slowFrom is how many times the usual latency, in thousandths, a target
-	// must take for calls to begin to leave the zone; slowRange above it all do.
-	// Upstreams of one service differ in speed by up to 2.3 times, the usual one
-	// is between them, and a way to another zone costs a millisecond or two.
-	slowFrom  = 2000
-	slowRange = 1000
 	// margin is how much cheaper the second draw must be. Without it noise in
 	// the averages alone would send all calls of a quiet service to one target.
 	margin = 0.8
@@ -26,7 +20,7 @@
 
 // pressure is the chance, in thousandths, that a call should go elsewhere: as
 // the load goes from SpillLoad to full, as refusals and failures become
-// usual, as its latency leaves that of the others, and, with cold set, as long as slow start lasts.
+// usual, and, with cold set, as long as slow start lasts.
 //
 // A chance, not a threshold: with a threshold all nodes of a zone leave it
 // together and come back together, and when the whole region is nearly full
@@ -36,26 +30,13 @@
 	over := (c.load(candidate) - int64(c.config.SpillLoad)) * thousand / spillRange
 	refused := m.refused.load(c.at, decayMillis) * thousand / avoidShare
 	failed := m.failed.load(c.at, decayMillis) * thousand / failedShare
-	pressure := max(over, refused, failed, c.slowness(m))
+	pressure := max(over, refused, failed)
 	if cold {
 		pressure = max(pressure, thousand-m.share(c.at, c.config))
 	}
 	return min(max(pressure, 0), thousand)
 }
 
-// slowness is the pressure that a target's latency makes, against the median of
-// the service's targets.
-//
-// Load pattern: an upstream turns slow while it has slots to spare, so neither
-// its load nor its refusals drive calls away, and they come too late.
-func (c *choice) slowness(m *measure) int64 {
-	latency := m.decayedLatency(c.typical, c.at)
-	if c.typical == 0 || latency-c.typical < outlierFloor {
-		return 0
-	}
-	return (latency*thousand/c.typical - slowFrom) * thousand / slowRange
-}
-
 // cheaper returns a, unless b is clearly cheaper; either may be nil.
 func (c *choice) cheaper(a, b *member) *member {
 	switch {
