node: calls without lineage are known by their internal route

Change: a call on an internal route counts as a call.

Measured: the test only; the users' deployments tell the lineage.

--- a/node/routed.go
+++ b/node/routed.go
@@ -39,10 +39,10 @@
 // parentOf finds the run that a call of the upstream is made for, and has the
 // call inherit from it: it ranks as the request that needs it, and can't
 // outlive it. It returns nil for a request of a caller, and for a call whose
-// run isn't known.
+// run isn't known. Where ids tell nothing, calls are those on internal routes.
 func (n *Node) parentOf(req *request) *visit {
 	id := n.settings.Dialect.ParentOf(req.call.RequestID)
-	if id == "" {
+	if id == "" && !req.profile.Internal {
 		return nil
 	}
 	req.call.Depth = 1
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -314,6 +314,31 @@
 	})
 }
 
+// The ids of an upstream's calls don't tell what request they are made for. A
+// call on an internal route must still count as one: shed as if it were a new
+// request it would waste the run that needs it, and unless it is counted no
+// node learns which requests lead to an overloaded service.
+func TestCallsWithoutLineageAreKnownByTheirRoute(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "desk", 10, echo)
+		now := front.now()
+		for i := range 40 {
+			front.shedder.Heard("lookup", 0.97, now)
+			at := now.Add(time.Duration(i) * 250 * time.Millisecond)
+			front.graph.Begin("read", at)
+			request := &request{profile: &config.Profile{Name: "lookup", Internal: true}, call: call.Context{RequestID: "r", Profile: "lookup"}}
+			f.c.Check(front.parentOf(request), qt.IsNil)
+			f.c.Check(front.refusePressed(request), qt.IsNil)
+			front.graph.End("read", at.Add(100*time.Millisecond))
+			time.Sleep(250 * time.Millisecond)
+		}
+		f.c.Check(front.graph.Linked("read"), qt.DeepEquals, []string{"lookup"})
+		caller := &request{profile: &config.Profile{Name: "read"}, call: call.Context{RequestID: "r", Profile: "read"}}
+		f.c.Check(front.parentOf(caller), qt.IsNil)
+		f.c.Check(caller.call.Depth, qt.Equals, 0)
+	})
+}
+
 // The upstream makes a call for a request that it runs. The call ranks as the
 // request, so a filing's lookup goes before a browser's, and ends with it.
 func TestCallsBelongToTheirRequest(t *testing.T) {
