membership, node: the first member heard of is asked for the rest at once

The restarted node got its configuration and one member from the first peer that probed it, but the rest 1.3 s later with its own next sync: the probe had brought news of its sender, who was therefore no stranger, and didn't begin a sync. Meanwhile its upstream's calls found no target (events 4009, some 170 in three seconds at one node), and the requests that needed them failed. Ruled out: the configuration (heard after 0.3 s), members that drain.

Change: a process that knew nobody syncs with the first one it hears of. A node counts as joined once its members stop growing.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -230,7 +230,14 @@
 		reply.Reached = g.relay(ctx, rawID(m.Target))
 	}
 	g.mu.Lock()
+	alone := g.table.alive == 1
 	taken := g.applyAll(m.Entries, isNews(m.Kind, m.Entries), now)
+	if alone && g.table.alive > 1 {
+		// The sender takes this process for known, and won't tell it of others;
+		// until its own next sync it would know the sender only.
+		g.due.sync = now
+		defer g.wakeLoop()
+	}
 	reply.Known, reply.Wanted = taken.known, taken.wanted
 	if taken.outdated {
 		reply.Entries = append(reply.Entries, fullEntry(g.table.self.id, &g.table.self.m))
--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -215,3 +215,28 @@
 		w.c.Logf("found by all after %v", took)
 	})
 }
+
+// A process starts while nobody can tell it of the others, and the first that
+// probes it happens to bring news of itself, so it is no stranger to it any
+// more. It must ask for the rest at once: calls are sent to it from then on, and
+// those that its upstream makes would find no target.
+func TestFirstMemberHeardOfIsAskedForTheRest(t *testing.T) {
+	cluster(t, 12, func(w *network) {
+		fresh := w.add(12, func(c *Config) {
+			c.Seeds = func(context.Context) ([]string, error) { return nil, &UnheardError{} }
+		})
+		w.c.Assert(fresh.Start(w.ctx), qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+		fresh.Gossip.mu.Lock()
+		fresh.due.sync = fresh.now().Add(time.Minute)
+		fresh.Gossip.mu.Unlock()
+		teller := w.nodes[3]
+		teller.Gossip.mu.Lock()
+		entry := fullEntry(teller.table.self.id, &teller.table.self.m)
+		teller.Gossip.mu.Unlock()
+		_, err := fresh.Handle(w.ctx, &Message{Kind: KindPing, From: entry.ID, FromSeq: entry.Seq, Entries: []Entry{entry}})
+		w.c.Assert(err, qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+		w.c.Check(fresh.sees(Alive), qt.Equals, 13)
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -118,10 +118,14 @@
 const joinPoll = 50 * time.Millisecond
 
 // awaitJoined waits until this node may be sent calls: for joinTime, or, where a
-// dialect is spoken, until it knows other members and a configuration.
+// dialect is spoken, until it knows a configuration and other members, and has
+// not learnt of more since the last look.
 func (n *Node) awaitJoined(ctx context.Context) bool {
+	known := 0
 	for until := n.now().Add(joinTime); n.now().Before(until); {
-		if n.spoken() && n.config.Status().Heard && len(n.gossip.Members()) > 1 {
+		before := known
+		known = len(n.gossip.Members())
+		if n.spoken() && n.config.Status().Heard && known > 1 && known == before {
 			return true
 		}
 		if !pause(ctx, joinPoll) {
