objects, bench: one wait that a context ends, one reading of the load average

Cause: the wait stood four times (objects, standin, node, the stand-in upstream), two of them with a timer that has expired already, which testing/synctest doesn't bear; the load average stood twice in bench.

Change: objects.Pause, bench/internal/machine. No behaviour changes.

Measured: tests of the packages named pass.

--- a/bench/control/run.go
+++ b/bench/control/run.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
+	"pollengauge.dev/bench/internal/machine"
 	"pollengauge.dev/observe"
 )
 
@@ -41,7 +40,7 @@
 
 func runSize(ctx context.Context, cfg Config, size int) (SizeResult, error) {
 	debug.FreeOSMemory() // what the size before left
-	result := SizeResult{Members: size, LoadBefore: loadAverage()}
+	result := SizeResult{Members: size, LoadBefore: machine.LoadAverage()}
 	fleet, err := newFleet(cfg)
 	if err != nil {
 		return result, err
@@ -71,7 +70,7 @@
 			return result, err
 		}
 	}
-	result.LoadAfter = loadAverage()
+	result.LoadAfter = machine.LoadAverage()
 	return result, nil
 }
 
@@ -188,18 +187,3 @@
 	f.fleet.close()
 	f.restore()
 }
-
-// loadAverage reads the machine's load average over a minute, 0 where the
-// system does not tell.
-func loadAverage() float64 {
-	text, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return 0
-	}
-	first, _, _ := strings.Cut(string(text), " ")
-	load, err := strconv.ParseFloat(first, 64)
-	if err != nil {
-		return 0
-	}
-	return load
-}
--- a/bench/hop/run.go
+++ b/bench/hop/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"pollengauge.dev/bench/internal/machine"
 )
 
 // Run builds two nodes with their upstreams on loopback and measures. The
@@ -19,13 +21,13 @@
 	}
 	defer r.close()
 	m := &measurement{cfg: cfg, rig: r}
-	before := loadAverage()
+	before := machine.LoadAverage()
 	if err := r.inVisits(ctx, m.run); err != nil {
 		return Result{}, err
 	}
 	result := m.result()
 	result.Machine.LoadBefore = before
-	result.Machine.LoadAfter = loadAverage()
+	result.Machine.LoadAfter = machine.LoadAverage()
 	return result, nil
 }
 
--- a/bench/hop/usage.go
+++ b/bench/hop/usage.go
@@ -1,10 +1,7 @@
 package hop
 
 import (
-	"os"
 	"runtime"
-	"strconv"
-	"strings"
 	"time"
 
 	"pollengauge.dev/observe"
@@ -58,17 +55,3 @@
 	// the machine made it wait for a processor before any of it ran.
 	Late Quantiles `json:"late"`
 }
-
-// loadAverage reads the load average over the last minute.
-func loadAverage() float64 {
-	text, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return 0
-	}
-	first, _, _ := strings.Cut(string(text), " ")
-	load, err := strconv.ParseFloat(first, 64)
-	if err != nil {
-		return 0
-	}
-	return load
-}
--- a/cmd/pollengauge/internal/upstream/upstream.go
+++ b/cmd/pollengauge/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/objects"
 )
 
 // WorkPath shows the work that each request takes, and takes a new one in the
@@ -100,7 +101,7 @@
 			return
 		}
 	}
-	if !sleep(r.Context(), time.Duration(u.work.Load())) {
+	if !objects.Pause(r.Context(), time.Duration(u.work.Load())) {
 		return
 	}
 	_, _ = fmt.Fprintf(w, "%s answers %s %s\n", u.settings.Service, r.Method, r.URL.Path)
@@ -151,14 +152,3 @@
 	}
 	return u.client.Do(req)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/drain.go
+++ b/node/drain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
 
@@ -70,7 +71,7 @@
 	}
 	alone := len(n.gossip.Members()) == 1
 	if !alone {
-		pause(ctx, drainNews)
+		objects.Pause(ctx, drainNews)
 	}
 	n.refuseWork()
 	err := n.awaitIdle(ctx)
@@ -82,7 +83,7 @@
 		n.log.Emit(observe.LeaveUnheard, observe.Err(left))
 	}
 	if !alone {
-		pause(ctx, leaveNews)
+		objects.Pause(ctx, leaveNews)
 	}
 	if shutdown := n.shutdownServers(ctx); err == nil && shutdown != nil {
 		err = &DrainError{InFlight: int(n.active.Load())}
--- a/node/ending.go
+++ b/node/ending.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
 
@@ -34,9 +35,9 @@
 // it, so the others get no share of its work for longer than the news takes;
 // what was taken is brought to its end.
 func (n *Node) end(ctx context.Context) error {
-	pause(ctx, endNews)
+	objects.Pause(ctx, endNews)
 	n.SetDraining(true)
-	pause(ctx, endAccept-endNews)
+	objects.Pause(ctx, endAccept-endNews)
 	n.closed.Store(true)
 	err := n.awaitActive(ctx)
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), endLeave)
--- a/node/handover.go
+++ b/node/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pollengauge.dev/atmostonce"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 	"pollengauge.dev/routing"
 )
@@ -44,7 +45,7 @@
 			return true
 		}
 		ambiguous := n.handoverAmbiguous(err)
-		if !pause(ctx, handoverPause) {
+		if !objects.Pause(ctx, handoverPause) {
 			n.log.Emit(observe.HandoverFailed, observe.Err(err))
 			return true
 		}
--- a/node/keyed.go
+++ b/node/keyed.go
@@ -11,6 +11,7 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
 
@@ -40,7 +41,7 @@
 		verdict, err := n.keys.Begin(ctx, n.presentation(req))
 		var refused *atmostonce.RefusedError
 		moving := errors.As(err, &refused) && refused.Reason == call.ReasonDraining
-		if !moving || n.now().After(until) || !pause(ctx, homePause) {
+		if !moving || n.now().After(until) || !objects.Pause(ctx, homePause) {
 			return verdict, err
 		}
 	}
--- a/node/keyhome.go
+++ b/node/keyhome.go
@@ -9,6 +9,7 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
 
@@ -48,7 +49,7 @@
 		if a != nil && (a.reported || a.report.Outcome != call.NotRun) {
 			return a
 		}
-		if last || !req.body.rewind() || !pause(ctx, homePause) {
+		if last || !req.body.rewind() || !objects.Pause(ctx, homePause) {
 			return n.homeUnreached(ctx, req, home, a)
 		}
 	}
@@ -102,18 +103,6 @@
 // passes a call on to a node takes it for the home or is making it one.
 func (n *Node) mayInherit(req *request) bool { return req.homeHops > 0 && n.keys.Active() }
 
-// pause waits and reports whether ctx lasted.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // findHome returns the living member that is home for an incarnation: itself,
 // or whoever took its keys over.
 func (n *Node) findHome(id string) (membership.Member, bool) {
--- a/node/members.go
+++ b/node/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 	"pollengauge.dev/routing"
 )
@@ -128,7 +129,7 @@
 		if n.spoken() && n.config.Status().Heard && known > 1 && known == before {
 			return true
 		}
-		if !pause(ctx, joinPoll) {
+		if !objects.Pause(ctx, joinPoll) {
 			return false
 		}
 	}
--- a/node/openclaims.go
+++ b/node/openclaims.go
@@ -73,7 +73,7 @@
 	for {
 		found, _, err := n.store.List(ctx, claimKind, prefix)
 		var overBudget *objects.RateError
-		if !errors.As(err, &overBudget) || n.now().Add(overBudget.RetryAfter).After(giveUp) || !pause(ctx, overBudget.RetryAfter) {
+		if !errors.As(err, &overBudget) || n.now().Add(overBudget.RetryAfter).After(giveUp) || !objects.Pause(ctx, overBudget.RetryAfter) {
 			return found, err
 		}
 	}
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -15,6 +15,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/objects"
 )
 
 // plainDialect is a small dialect for tests: X-Id names a request, X-Echo and
@@ -128,7 +129,7 @@
 	a := n.upstream.Load().Announcement
 	a.Instance = "one"
 	go func() {
-		for a.Sequence = 1; pause(f.t.Context(), 1500*time.Millisecond); a.Sequence++ {
+		for a.Sequence = 1; objects.Pause(f.t.Context(), 1500*time.Millisecond); a.Sequence++ {
 			_ = n.Announce(a)
 		}
 	}()
--- a/node/witness.go
+++ b/node/witness.go
@@ -13,6 +13,7 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
 
@@ -212,7 +213,7 @@
 
 // runWitness keeps the witnesses up to date until ctx ends.
 func (n *Node) runWitness(ctx context.Context) {
-	for pause(ctx, witnessPause) {
+	for objects.Pause(ctx, witnessPause) {
 		n.updateWitnesses(ctx)
 	}
 }
--- a/objects/backoff.go
+++ b/objects/backoff.go
@@ -54,11 +54,11 @@
 
 // Wait waits for one Delay and returns true, or false as soon as ctx ends.
 func (b Backoff) Wait(ctx context.Context, attempt int, r *rand.Rand) bool {
-	return pause(ctx, b.Delay(attempt, r))
+	return Pause(ctx, b.Delay(attempt, r))
 }
 
-// pause waits for d and returns true, or false as soon as ctx ends.
-func pause(ctx context.Context, d time.Duration) bool {
+// Pause waits for d and returns true, or false as soon as ctx ends.
+func Pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
--- a/objects/settle.go
+++ b/objects/settle.go
@@ -87,7 +87,7 @@
 		if ambiguous == nil {
 			return Object{}, err
 		}
-		pause(s.ctx, askedDelay(err)+Backoff{}.Delay(attempt, rnd))
+		Pause(s.ctx, askedDelay(err)+Backoff{}.Delay(attempt, rnd))
 		current, err := s.readBack(ambiguous)
 		if err != nil {
 			return Object{}, err
@@ -112,6 +112,6 @@
 		if err == nil {
 			return current, nil
 		}
-		pause(s.ctx, askedDelay(err)+Backoff{}.Delay(attempt, rnd))
+		Pause(s.ctx, askedDelay(err)+Backoff{}.Delay(attempt, rnd))
 	}
 }
--- a/objects/watcher.go
+++ b/objects/watcher.go
@@ -53,7 +53,7 @@
 		r.rand = newRand()
 	}
 	for ctx.Err() == nil {
-		pause(ctx, r.step(ctx))
+		Pause(ctx, r.step(ctx))
 	}
 }
 
--- a/standin/memory.go
+++ b/standin/memory.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if !pause(ctx, delay) {
+	if !objects.Pause(ctx, delay) {
 		return &objects.UnavailableError{Op: op, Cause: ctx.Err()}
 	}
 	return nil
@@ -141,7 +141,7 @@
 		return objects.Object{}, ambiguous
 	}
 	arrives := time.Now().Add(delay)
-	if !pause(ctx, delay) {
+	if !objects.Pause(ctx, delay) {
 		m.applyAt(arrives, op, o)
 		ambiguous.Cause = ctx.Err()
 		return objects.Object{}, ambiguous
@@ -165,18 +165,3 @@
 	}
 	time.AfterFunc(left, func() { m.apply(op, o) })
 }
-
-// pause waits for d and reports whether ctx lasted that long.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
