--- a/node/routed_bench_test.go
+++ b/node/routed_bench_test.go
@@ -10,17 +10,43 @@
 	"time"
 
 	"pollengauge.dev/config"
+	"pollengauge.dev/observe"
 )
 
-// BenchmarkRoutedCall sends one request at a time through two nodes that speak
-// a dialect, on loopback. It gives what both hops cost together with a caller
-// and an upstream that do nothing.
-func BenchmarkRoutedCall(b *testing.B) {
-	set, err := config.Parse([]byte(routedSet), config.YAML)
-	if err != nil {
-		b.Fatal(err)
-	}
-	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+// BenchmarkCall sends one request at a time on loopback to an upstream that
+// does nothing: without nodes, through two nodes by the project's own
+// interface, and through two that speak a dialect, without and with their log.
+// The differences are what both hops cost, and what the dialect and the log add.
+func BenchmarkCall(b *testing.B) {
+	upstream := benchUpstream(b)
+	b.Run("direct", func(b *testing.B) { benchRequests(b, upstream, "desk.example") })
+	b.Run("own interface", func(b *testing.B) {
+		front := benchNodes(b, upstream, func(*Settings) {})
+		benchRequests(b, front.Addr(OutboundListener), "desk")
+	})
+	b.Run("dialect", func(b *testing.B) {
+		front := benchNodes(b, upstream, speaking)
+		benchRequests(b, front.Addr(OutboundListener), "desk.example")
+	})
+	b.Run("dialect with log", func(b *testing.B) {
+		lines := observe.NewLineWriter(io.Discard, 0, 0)
+		defer lines.Close(time.Second)
+		log, err := observe.NewLogger(observe.LoggerConfig{Output: lines, Format: observe.Logfmt})
+		if err != nil {
+			b.Fatal(err)
+		}
+		front := benchNodes(b, upstream, func(s *Settings) {
+			speaking(s)
+			s.Log = log
+		})
+		benchRequests(b, front.Addr(OutboundListener), "desk.example")
+	})
+}
+
+func speaking(s *Settings) { s.Edge, s.Dialect = "", plainDialect{} }
+
+func benchUpstream(b *testing.B) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -28,13 +54,24 @@
 		w.Header().Set("X-Echo", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "answer")
 	})}
-	go func() { _ = server.Serve(upstream) }()
-	defer server.Close()
-	var front *Node
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// benchNodes starts a node of the service "front" and one of "desk", and
+// returns the first once it knows the second.
+func benchNodes(b *testing.B, upstream string, adjust func(*Settings)) *Node {
+	set, err := config.Parse([]byte(routedSet), config.YAML)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var nodes []*Node
 	var peers []string
 	for _, service := range []string{"front", "desk"} {
 		s := DefaultSettings()
-		s.Service, s.Edge, s.Dialect, s.Peers = service, "", plainDialect{}, peers
+		s.Service, s.Peers = service, peers
+		adjust(&s)
 		n, err := New(s)
 		if err != nil {
 			b.Fatal(err)
@@ -42,29 +79,32 @@
 		if err := n.Start(context.Background()); err != nil {
 			b.Fatal(err)
 		}
-		defer n.Close()
+		b.Cleanup(n.Close)
 		if err := n.OfferConfig(set); err != nil {
 			b.Fatal(err)
 		}
-		if err := n.Announce(Announcement{Service: service, Addr: upstream.Addr().String(), Slots: 100}); err != nil {
+		if err := n.Announce(Announcement{Service: service, Addr: upstream, Slots: 100}); err != nil {
 			b.Fatal(err)
 		}
 		peers = append(peers, n.Addr(GossipListener))
-		if front == nil {
-			front = n
-		}
+		nodes = append(nodes, n)
 	}
-	for front.Targets("desk") == 0 {
+	for nodes[0].Targets("desk") == 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
+	return nodes[0]
+}
+
+func benchRequests(b *testing.B, addr, host string) {
 	client := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", front.Addr(OutboundListener))
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}}
+	defer client.CloseIdleConnections()
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
 		i++
-		req, _ := http.NewRequest(http.MethodGet, "http://desk.example/browse/x", nil)
+		req, _ := http.NewRequest(http.MethodGet, "http://"+host+"/browse/x", nil)
 		req.Header.Set("X-Id", strconv.Itoa(i))
 		resp, err := client.RoundTrip(req)
 		if err != nil {
