admission, node: calls that tell their run are counted for the call graph

Ids tell which run makes a call, and that was not used.

Change: CalledBy counts by run; nothing is fitted once a call has told its run.

The test failed first.

--- a/admission/callgraph.go
+++ b/admission/callgraph.go
@@ -35,6 +35,10 @@
 // many calls were made. The calls are fitted as a sum over kinds of runs, each
 // with a rate that is not negative (least squares, by coordinate descent).
 // Runs come and go independently, which tells their parts apart.
+//
+// Where a call tells its run, that is counted and nothing is fitted: in a surge
+// all kinds of runs rise together, and the fit then links kinds that make no
+// calls at all.
 type CallGraph struct {
 	mu    sync.Mutex
 	runs  map[string]*runKind
@@ -42,6 +46,8 @@
 	calls map[string]*callKind
 	until time.Time
 	now   time.Time
+	// traced is set once a call has told its run.
+	traced bool
 }
 
 // runKind is one kind of run.
@@ -58,6 +64,8 @@
 	total   float64
 	// products are the decayed sums of busy times the busy of each kind.
 	products []float64
+	// traced are the decayed counts of the calls that told this kind of run.
+	traced map[string]float64
 	// linked are the kinds of calls that it makes, as of the last window. The
 	// list is replaced, never changed.
 	linked []string
@@ -110,6 +118,24 @@
 	}
 }
 
+// CalledBy notes a call that the upstream makes for a run of a known kind.
+func (g *CallGraph) CalledBy(run, call string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	r := g.run(run)
+	if r == nil {
+		return
+	}
+	if r.traced == nil {
+		r.traced = make(map[string]float64)
+	}
+	if _, known := r.traced[call]; known || len(r.traced) < maxKinds {
+		r.traced[call]++
+	}
+	g.traced = true
+}
+
 // Calls reports how many calls of a kind a run makes on average, 0 if the two
 // aren't linked.
 func (g *CallGraph) Calls(run, call string) float64 {
@@ -189,6 +215,9 @@
 	for _, r := range g.order {
 		r.total = r.total*graphDecay + r.busy
 		r.started *= graphDecay
+		for call := range r.traced {
+			r.traced[call] *= graphDecay
+		}
 		r.busy = 0
 	}
 	for _, r := range g.order {
@@ -199,6 +228,14 @@
 // links lists the kinds of calls that r makes.
 func (g *CallGraph) links(r *runKind) []string {
 	var linked []string
+	if g.traced {
+		for name, made := range r.traced {
+			if made >= leastCalls*r.started {
+				linked = append(linked, name)
+			}
+		}
+		return linked
+	}
 	for name, c := range g.calls {
 		if g.perRun(r, c) > 0 {
 			linked = append(linked, name)
--- a/admission/pressed_test.go
+++ b/admission/pressed_test.go
@@ -152,3 +152,30 @@
 	c.Check(g.Linked("fee"), qt.DeepEquals, []string{"reply"})
 	c.Check(g.Linked("pay"), qt.HasLen, 0)
 }
+
+// Payments and schedules share an upstream, and come and go together in a surge.
+// Only schedules call the overloaded service below. Where each call tells its
+// run, payments must not be linked to it by that: two thirds of them were
+// refused for a service that they don't need.
+func TestCallsThatTellTheirRunLinkNoOther(t *testing.T) {
+	c := qt.New(t)
+	g := NewCallGraph()
+	now := time.Unix(1000, 0)
+	for i := range 400 {
+		now = now.Add(25 * time.Millisecond)
+		for range 1 + i/10%4 {
+			g.Begin("payment", now)
+			g.Begin("schedule", now)
+			for range 4 {
+				g.CalledBy("schedule", "index", now)
+			}
+		}
+		later := now.Add(20 * time.Millisecond)
+		for range 1 + i/10%4 {
+			g.End("payment", later)
+			g.End("schedule", later)
+		}
+	}
+	c.Check(g.Linked("schedule"), qt.DeepEquals, []string{"index"})
+	c.Check(g.Linked("payment"), qt.HasLen, 0)
+}
--- a/node/routed.go
+++ b/node/routed.go
@@ -47,11 +47,15 @@
 	}
 	req.call.Depth = 1
 	req.call.Progress = 1
-	n.graph.Called(req.call.Profile, n.now())
+	if id == "" {
+		n.graph.Called(req.call.Profile, n.now())
+		return nil
+	}
 	parent, ok := n.visits.find(id)
 	if !ok || !parent.begin() {
 		return nil
 	}
+	n.graph.CalledBy(parent.call.Profile, req.call.Profile, n.now())
 	req.call.Depth = min(parent.call.Depth+1, call.MaxDepth)
 	req.call.Progress = max(parent.progress(), 1)
 	req.call.Level = parent.call.Level
