--- a/node/conn.go
+++ b/node/conn.go
@@ -20,7 +20,7 @@
 
 // dialTimeout bounds one connect. Within a region it takes milliseconds. A lost
 // first packet is sent again only after a second; another target is found sooner.
-const dialTimeout = 500 * time.Millisecond
+const dialTimeout = 250 * time.Millisecond
 
 func newTCPNetwork() *tcpNetwork { return &tcpNetwork{dialer: livedial.Dialer(dialTimeout)} }
 
