admission: rare answers tell the pressure

Change: answers are averaged over 160 ms of time instead of by their number; at a hundred a second that is the same.

--- a/admission/pressed_test.go
+++ b/admission/pressed_test.go
@@ -153,6 +153,27 @@
 	c.Check(g.Linked("pay"), qt.HasLen, 0)
 }
 
+// Few requests of a kind are let through an overload, so few answers tell of it.
+// Each must count for the time since the last one. Otherwise such a kind never
+// learns how high the pressure is, and its requests, each as dear as many
+// others, go before more important ones.
+func TestRareAnswersTellThePressure(t *testing.T) {
+	c := qt.New(t)
+	s := NewShedder()
+	now := time.Unix(1000, 0)
+	s.Heard("status", 0, now)
+	for range 4 {
+		now = now.Add(400 * time.Millisecond)
+		s.Heard("status", 0.9, now)
+	}
+	c.Check(s.Pressure("status", now) > 0.8, qt.IsTrue, qt.Commentf("%.2f", s.Pressure("status", now)))
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		s.Heard("status", 0, now)
+	}
+	c.Check(s.Pressure("status", now) < 0.02, qt.IsTrue, qt.Commentf("%.2f after a second without", s.Pressure("status", now)))
+}
+
 // Payments and schedules share an upstream, and come and go together in a surge.
 // Only schedules call the overloaded service below. Where each call tells its
 // run, payments must not be linked to it by that: two thirds of them were
--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,10 +13,10 @@
 	// shedderDecay is what each second leaves of the arrivals counted before.
 	shedderTick  = 250 * time.Millisecond
 	shedderDecay = 0.7
-	// heardWeight is the weight of one answer in what is known of a profile's
-	// pressure. Answers come from several upstreams of unlike speed; some tens
-	// of them are averaged.
-	heardWeight = 0.06
+	// heardSpan is the time over which answers are averaged to a profile's
+	// pressure. Answers come from several upstreams of unlike speed; at a hundred
+	// a second each counts 6 %, and one after a second of silence nearly all.
+	heardSpan = 160 * time.Millisecond
 	// heardLife is how long a pressure is believed without an answer. After it
 	// some requests are let through, which bring news.
 	heardLife = time.Second
@@ -44,7 +45,8 @@
 // heard is what answers told of one profile.
 type heard struct {
 	value float64
-	at    time.Time
+	// at is when value was last brought up to date, heardAt when an answer was.
+	at, heardAt time.Time
 }
 
 // NewShedder returns a Shedder that refuses nothing.
@@ -61,11 +63,12 @@
 		if len(s.profiles) >= maxProfiles {
 			return
 		}
-		h = &heard{value: value}
+		h = &heard{value: value, heardAt: now}
 		s.profiles[profile] = h
 	}
-	h.value += heardWeight * (value - h.value)
-	h.at = now
+	weight := 1 - math.Exp(-float64(now.Sub(h.heardAt))/float64(heardSpan))
+	h.value += max(weight, 0) * (value - h.value)
+	h.at, h.heardAt = now, now
 }
 
 // Pressure is what is known of a profile's pressure.
