--- a/cmd/pollengauge/soak/vm_test.go
+++ b/cmd/pollengauge/soak/vm_test.go
@@ -154,15 +154,19 @@
 
 func (v *vm) supervise(process *os.Process) {
 	state, err := process.Wait()
+	text := "wait failed"
+	hungUp := false
+	if err == nil {
+		text = state.String()
+		status, ok := state.Sys().(syscall.WaitStatus)
+		hungUp = ok && status.Signaled() && status.Signal() == syscall.SIGHUP
+	}
 	v.mu.Lock()
 	v.process = nil
 	unasked := v.wanted && !v.stopped
 	v.mu.Unlock()
-	if unasked {
-		text := "wait failed"
-		if err == nil {
-			text = state.String()
-		}
+	// SIGHUP asks for another look at the settings, never for the end.
+	if unasked || hungUp {
 		add(v.fleet.record, &v.fleet.record.ends, end{vm: v.number, at: time.Now(), state: text})
 	}
 	time.Sleep(restartDelay)
