objects, platform: every other watch is short

A version of 6.4 s had answered all watchers, who asked again together; at 7.0 s the store dropped their watches without an answer, and a version was acknowledged at 7.13 s. Event 6001 (deadline exceeded) and the list that followed came at 12.4 s, when the first of these watches had waited its 5 s and one of grace; all 84 nodes took the version at 12.5 s, by one watcher and its peers. Ruled out: gossip (0.1 s to all), the cut of 35 % of the nodes.

--- a/objects/client.go
+++ b/objects/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -180,15 +181,24 @@
 	return err
 }
 
+// watchWait draws how long the next watch waits.
+func (c *Client) watchWait() time.Duration {
+	if c.options.ShortWatchWait > 0 && rand.IntN(2) == 0 {
+		return c.options.ShortWatchWait
+	}
+	return c.options.WatchWait
+}
+
 // Watch implements Store. It waits up to Options.WatchWait.
 func (c *Client) Watch(ctx context.Context, kind string, from uint64) ([]Event, uint64, error) {
 	if err := CheckKind(kind); err != nil {
 		return nil, 0, err
 	}
-	q := Query{Op: OpWatch, Kind: kind, From: from, Wait: c.options.WatchWait}
+	wait := c.watchWait()
+	q := Query{Op: OpWatch, Kind: kind, From: from, Wait: wait}
 	next := from
 	events, err := finish(c, q, func() ([]Event, error) {
-		a, r, err := c.exchange(ctx, q, c.options.WatchWait+c.options.Timeout)
+		a, r, err := c.exchange(ctx, q, wait+c.options.Timeout)
 		if err != nil {
 			return nil, err
 		}
--- a/objects/client_test.go
+++ b/objects/client_test.go
@@ -360,3 +360,23 @@
 	_, err = client.Get(background, "member", "../secret")
 	c.Assert(err, qt.ErrorAs, new(*objects.InvalidError))
 }
+
+// An event answers all watchers at once, and the platform then drops their
+// watches without a word. If all waited for as long, a change would be known
+// nowhere until then: some of a handful of watchers must ask again soon.
+func TestSomeWatchesAreShort(t *testing.T) {
+	c := qt.New(t)
+	server := standin.New(standin.Options{})
+	waits := make(map[string]int)
+	counted := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		waits[r.URL.Query().Get("wait_ms")]++
+		server.ServeHTTP(w, r)
+	}))
+	defer counted.Close()
+	client := newClient(c, objects.Options{Endpoint: counted.URL, ReadRate: rate.Inf, WatchWait: 2 * time.Millisecond, ShortWatchWait: time.Millisecond})
+	for range 64 {
+		_, _, err := client.Watch(background, "kind", 0)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(waits["1"] > 0 && waits["2"] > 0 && len(waits) == 2, qt.IsTrue, qt.Commentf("%v", waits))
+}
