secure, membership: two tests that raced at one virtual instant

Cause: TestBadKeyKeepsTheOld changes the files at 0, 20, 40 s of virtual time, the instants of the 5 s looks, so a look could read three files half old, half new and tell of the mixture as well; TestDetection read the dials of the meter without its lock, at the instant in which an exchange counts one. Nothing of the program was at fault: a mixture that was read is rightly told. Change: files change one second off the looks; the dials are read under the lock.

--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -58,7 +58,7 @@
 	m.reset()
 	time.Sleep(window)
 	seconds := int(window / time.Second)
-	return m.perNode(size) / seconds, float64(m.dials) / float64(seconds*size)
+	return m.perNode(size) / seconds, m.dialsPerNode(size) / float64(seconds)
 }
 
 func deathsOf(s Stats) uint64 { return s.Deaths }
--- a/membership/meter_test.go
+++ b/membership/meter_test.go
@@ -120,6 +120,13 @@
 	return most
 }
 
+// dialsPerNode is the share of each node in the connections opened.
+func (m *meter) dialsPerNode(size int) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return float64(m.dials) / float64(size)
+}
+
 func (m *meter) perNode(size int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/secure/secure_test.go
+++ b/secure/secure_test.go
@@ -235,6 +235,9 @@
 		go s.Run(ctx, wake)
 		stranger := other.Issue("x", securetest.Options{})
 		expired := ca.Issue("x", securetest.Options{From: -2 * time.Hour})
+		// Changes fall between two looks: one that reads three files while
+		// they change rightly tells of the mixture too.
+		time.Sleep(time.Second)
 		for i, bad := range [][3]string{
 			{b.Cert, a.Key, ca.PEM()}, {"", a.Key, ca.PEM()}, {a.Cert, a.Key, ca.PEM()[:200]},
 			{a.Cert, a.Key, ca.PEM() + other.PEM()[:200]}, {stranger.Cert, stranger.Key, ca.PEM()},
