config, node, platform: bounds on callers come from the configuration

Cause: the node closed a caller's idle connection after 15 s whatever the configuration said, so where operators allow longer a request on a kept connection met its end and got no answer; header_bytes and body_bytes were not held at all. Change: config.Limits has headerBytes, bodyBytes and idleTimeout; a timer a connection ends idle ones, since the time of net/http is fixed with its server; a request over a bound is refused as not run where the caller comes in, in the form of the dialect. header_timeout_s stays the node's own 10 s, which is the more patient one. Before: TestIdleConnectionsFollowTheConfiguration fails with the fixed time (write: connection reset). After: it passes, as do the tests of config, node and platform with -race.

--- a/config/diff.go
+++ b/config/diff.go
@@ -147,5 +147,11 @@
 }
 
 func limitItems(s Set) []item {
-	return []item{{path: "limits", fields: []field{{"retryRatio", formatFloat(s.Limits.RetryRatio)}}}}
+	l := s.Limits
+	return []item{{path: "limits", fields: []field{
+		{"retryRatio", formatFloat(l.RetryRatio)},
+		{"headerBytes", strconv.Itoa(l.HeaderBytes)},
+		{"bodyBytes", strconv.Itoa(l.BodyBytes)},
+		{"idleTimeout", l.IdleTimeout.String()},
+	}}}
 }
--- a/config/parse.go
+++ b/config/parse.go
@@ -74,7 +74,10 @@
 
 func readLimits(n *yaml.Node, at string, l *Limits) error {
 	_, err := readObject(n, at, fields{
-		"retryRatio": func(n *yaml.Node, at string) error { return readFloat(n, at, &l.RetryRatio) },
+		"retryRatio":  func(n *yaml.Node, at string) error { return readFloat(n, at, &l.RetryRatio) },
+		"headerBytes": func(n *yaml.Node, at string) error { return readInt(n, at, &l.HeaderBytes) },
+		"bodyBytes":   func(n *yaml.Node, at string) error { return readInt(n, at, &l.BodyBytes) },
+		"idleTimeout": func(n *yaml.Node, at string) error { return readText(n, at, &l.IdleTimeout) },
 	})
 	return err
 }
--- a/config/set.go
+++ b/config/set.go
@@ -117,6 +117,17 @@
 	// It caps what all credits together may add: higher hides more faults,
 	// lower keeps a surge from feeding itself.
 	RetryRatio float64 `json:"retryRatio" yaml:"retryRatio"`
+
+	// HeaderBytes and BodyBytes bound what a caller may send in one request, 0
+	// for the node's own bound (max-header-bytes) and none. Lower keeps a node's
+	// memory for other callers, and refuses more requests.
+	HeaderBytes int `json:"headerBytes,omitempty" yaml:"headerBytes,omitempty"`
+	BodyBytes   int `json:"bodyBytes,omitempty" yaml:"bodyBytes,omitempty"`
+
+	// IdleTimeout is how long a caller's connection is kept without a request,
+	// 0 for the node's own time. Longer spares callers new connections, and
+	// holds more descriptors.
+	IdleTimeout Duration `json:"idleTimeout,omitempty" yaml:"idleTimeout,omitempty"`
 }
 
 // Set is everything that operators decide, as one versioned whole.
--- a/config/validate.go
+++ b/config/validate.go
@@ -32,6 +32,16 @@
 	MaxStale = Duration(24 * time.Hour)
 	// MaxRetryRatio bounds Limits.RetryRatio.
 	MaxRetryRatio = 0.5
+	// MinHeaderBytes and MaxHeaderBytes bound Limits.HeaderBytes: a usual head
+	// has some hundred bytes, and a node holds one for each connection.
+	MinHeaderBytes = 1 << 10
+	MaxHeaderBytes = 1 << 20
+	// MaxBodyBytes bounds Limits.BodyBytes. Longer bodies need no bound: they
+	// are streamed, not held.
+	MaxBodyBytes = 1 << 30
+	// MinIdleTimeout and MaxIdleTimeout bound Limits.IdleTimeout.
+	MinIdleTimeout = Duration(100 * time.Millisecond)
+	MaxIdleTimeout = Duration(10 * time.Minute)
 	// MaxVersion keeps versions exact in tools that read JSON numbers as
 	// floating point.
 	MaxVersion = 1 << 53
@@ -55,7 +65,7 @@
 	v.order(s.Profiles)
 	v.assignments(s)
 	v.routes(s)
-	v.check(inRange(s.Limits.RetryRatio, 0, MaxRetryRatio), "limits.retryRatio", formatFloat(s.Limits.RetryRatio), "a number from 0 to 0.5")
+	v.limits(s.Limits)
 	if len(v.problems) == 0 {
 		v.size(s)
 	}
@@ -65,6 +75,13 @@
 	return &ValidationError{Problems: v.problems}
 }
 
+func (v *validator) limits(l Limits) {
+	v.check(inRange(l.RetryRatio, 0, MaxRetryRatio), "limits.retryRatio", formatFloat(l.RetryRatio), "a number from 0 to 0.5")
+	v.check(l.HeaderBytes == 0 || (l.HeaderBytes >= MinHeaderBytes && l.HeaderBytes <= MaxHeaderBytes), "limits.headerBytes", strconv.Itoa(l.HeaderBytes), "0, or 1024 to 1048576")
+	v.check(l.BodyBytes >= 0 && l.BodyBytes <= MaxBodyBytes, "limits.bodyBytes", strconv.Itoa(l.BodyBytes), "0 to 1073741824")
+	v.check(l.IdleTimeout == 0 || (l.IdleTimeout >= MinIdleTimeout && l.IdleTimeout <= MaxIdleTimeout), "limits.idleTimeout", l.IdleTimeout.String(), "0s, or 100ms to 10m")
+}
+
 type validator struct {
 	problems []Problem
 }
--- /dev/null
+++ b/node/callerlimits_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/config"
+)
+
+// offerLimits puts the routes of routedSet in force with other limits.
+func (f *fleet) offerLimits(n *Node, version uint64, limits config.Limits) {
+	set, err := config.Parse([]byte(routedSet), config.YAML)
+	f.c.Assert(err, qt.IsNil)
+	set.Version = version
+	set.Limits = limits
+	f.c.Assert(n.OfferConfig(set), qt.IsNil)
+}
+
+// Callers keep a connection and use it again after a pause that the
+// configuration allows. The node used to close at a time of its own, so the next
+// request met a closed connection and got no answer. The time has to follow the
+// configuration also for connections that are open when it changes, and hold:
+// what is idle for longer is closed.
+func TestIdleConnectionsFollowTheConfiguration(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, echo)
+		f.settle()
+		conn := f.stranger(n, OutboundListener)
+		defer conn.Close()
+		answers := bufio.NewReader(conn)
+		ask := func() error {
+			if _, err := io.WriteString(conn, "GET /browse/x HTTP/1.1\r\nHost: desk.example\r\nX-Id: r1\r\n\r\n"); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return err
+			}
+			f.c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+			_, err = io.Copy(io.Discard, resp.Body)
+			return err
+		}
+		f.c.Assert(ask(), qt.IsNil)
+		f.offerLimits(n, 2, config.Limits{RetryRatio: config.DefaultRetryRatio, IdleTimeout: config.Duration(40 * time.Second)})
+		f.c.Assert(ask(), qt.IsNil)
+		for range 3 {
+			time.Sleep(32 * time.Second)
+			f.c.Assert(ask(), qt.IsNil)
+		}
+		f.offerLimits(n, 3, config.Limits{RetryRatio: config.DefaultRetryRatio, IdleTimeout: config.Duration(5 * time.Second)})
+		f.c.Assert(ask(), qt.IsNil)
+		time.Sleep(6 * time.Second)
+		f.c.Check(ask(), qt.IsNotNil)
+	})
+}
+
+// The operators bound what a caller may send. A head or an announced body above
+// that must be refused as not run, and one below must run; a body without a
+// length can't be judged at its head and must not run whole.
+func TestCallersKeepToTheLimitsOfTheConfiguration(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		told := &events{}
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			f.runs.add("desk", r.Header.Get("X-Id"))
+			echo(w, r, call)
+		}, logged(f.c, told))
+		f.settle()
+		f.offerLimits(n, 2, config.Limits{RetryRatio: config.DefaultRetryRatio, HeaderBytes: 2048, BodyBytes: 1000})
+		post := func(id, rest string) *http.Response {
+			return f.raw(n, OutboundListener, "POST /browse/x HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nX-Id: "+id+"\r\n"+rest)
+		}
+		body := func(size string, length int) string {
+			return "Content-Length: " + size + "\r\n\r\n" + strings.Repeat("b", length)
+		}
+		for _, one := range []struct {
+			id, rest string
+			reason   string
+			runs     int
+		}{
+			{"fits", body("1000", 1000), "", 1},
+			{"long", body("1001", 1001), "too-large", 0},
+			{"head", "A: " + strings.Repeat("a", 2048) + "\r\n" + body("3", 3), "too-large", 0},
+			{"chunks", "Transfer-Encoding: chunked\r\n\r\n5dc\r\n" + strings.Repeat("b", 1500) + "\r\n0\r\n\r\n", "too-large", 0},
+			{"few chunks", "Transfer-Encoding: chunked\r\n\r\n3e8\r\n" + strings.Repeat("b", 1000) + "\r\n0\r\n\r\n", "", 1},
+		} {
+			resp := post(one.id, one.rest)
+			f.c.Assert(resp, qt.IsNotNil, qt.Commentf(one.id))
+			f.c.Check(resp.Header.Get("X-Reason"), qt.Equals, one.reason, qt.Commentf(one.id))
+			f.c.Check(f.runs.of("desk", one.id), qt.Equals, one.runs, qt.Commentf(one.id))
+		}
+		f.c.Check(told.has("too-large"), qt.IsTrue)
+		time.Sleep(time.Second) // net/http waits before it closes
+	})
+}
--- a/node/errors.go
+++ b/node/errors.go
@@ -93,6 +93,14 @@
 // Unwrap gives the reader's or decoder's error.
 func (e *BodyError) Unwrap() error { return e.Cause }
 
+// BodyLimitError tells that a request announces a body over the limit.
+type BodyLimitError struct{ Got, Limit int64 }
+
+// Error implements error.
+func (e *BodyLimitError) Error() string {
+	return "body has " + strconv.FormatInt(e.Got, 10) + " bytes, allowed: " + strconv.FormatInt(e.Limit, 10)
+}
+
 // WrongServiceError tells that a call names a service that can't be reached
 // this way.
 type WrongServiceError struct{ Service, Want string }
--- a/node/guard.go
+++ b/node/guard.go
@@ -69,7 +69,11 @@
 		defer n.recovered(listener, w, r)
 		// The deadline of the answer before on this connection ends here.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-		if err := limit.check(r); err != nil {
+		err := limit.check(r)
+		if err == nil && n.serves(listener) {
+			err = n.limitCaller(w, r)
+		}
+		if err != nil {
 			n.writeBad(w, r, err)
 			return
 		}
@@ -92,6 +96,18 @@
 	panic(http.ErrAbortHandler)
 }
 
+// connState follows the connections of a listener.
+func (n *Node) connState(listener Listener, limit int) func(net.Conn, http.ConnState) {
+	count := n.countConns(listener, limit)
+	if !n.serves(listener) {
+		return count
+	}
+	return func(conn net.Conn, state http.ConnState) {
+		count(conn, state)
+		n.watchIdle(conn, state)
+	}
+}
+
 // countConns tells when a listener holds as many connections as it may.
 func (n *Node) countConns(listener Listener, limit int) func(net.Conn, http.ConnState) {
 	open := new(atomic.Int64)
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -91,18 +91,6 @@
 	keepAliveTimeout  = 2 * time.Minute
 )
 
-// callerIdleTimeout is how long a caller's connection may be idle where a
-// dialect is spoken. Callers there use connections again that were idle for up
-// to 12 s; what is longer only holds descriptors.
-const callerIdleTimeout = 15 * time.Second
-
-func (n *Node) idleTimeout(l Listener) time.Duration {
-	if n.spoken() && l == OutboundListener {
-		return callerIdleTimeout
-	}
-	return keepAliveTimeout
-}
-
 // serve runs one HTTP server. A malformed or slow request head is answered
 // and closed by net/http within its limits.
 func (n *Node) serve(name Listener, handler http.Handler, conns int) {
@@ -114,12 +102,12 @@
 		// for ever; 64 of them shut operators out of the admin API. A handler
 		// that reads the body lifts this at its end.
 		ReadTimeout: readHeaderTimeout + n.settings.BodyTimeout,
-		IdleTimeout: n.idleTimeout(name),
+		IdleTimeout: n.longestIdle(name),
 		// guard holds the limit itself and answers with a reason; net/http
 		// only cuts off what is far beyond it.
 		MaxHeaderBytes: n.settings.MaxHeaderBytes + 2*nodeHeaderBytes,
 		ErrorLog:       n.serverLog(name),
-		ConnState:      n.countConns(name, conns),
+		ConnState:      n.connState(name, conns),
 		// "OPTIONS *" gets an outcome like any other request.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/node/notes.go
+++ b/node/notes.go
@@ -63,25 +63,17 @@
 // That is no proof for a key: an earlier presentation may have run it, and
 // this one ended before the table was asked. Then the outcome is unknown.
 func (n *Node) writeBad(w http.ResponseWriter, r *http.Request, err error) {
-	reason := call.ReasonBadRequest
-	event := observe.BadRequest
-	var depth *DepthError
-	var head *HeadError
-	switch {
-	case errors.As(err, &head):
-		reason = call.ReasonTooLarge
-		event = observe.TooLarge
-	case errors.As(err, &depth):
-		event = observe.CallLoop
-	}
-	n.log.Emit(event, observe.Err(err))
-	n.metrics.Malformed.With(malformedRequest).Inc(1)
+	reason := n.noteBad(err)
 	outcome := call.NotRun
 	if r.Header.Get(call.HeaderIdempotencyKey) != "" {
 		outcome = call.Unknown
 	}
 	a := n.refuse(outcome, reason, 0)
-	if head != nil {
+	if n.spoken() {
+		n.writeRefused(w, a, r)
+		return
+	}
+	if errors.As(err, new(*HeadError)) {
 		a.status = http.StatusRequestHeaderFieldsTooLarge
 	}
 	a.header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -90,6 +82,23 @@
 	_ = writeAnswer(w, a)
 }
 
+// noteBad logs and counts a request that can't be taken, and returns the reason
+// that its caller gets.
+func (n *Node) noteBad(err error) call.Reason {
+	reason := call.ReasonBadRequest
+	event := observe.BadRequest
+	switch {
+	case errors.As(err, new(*HeadError)), errors.As(err, new(*BodyLimitError)), errors.As(err, new(*http.MaxBytesError)):
+		reason = call.ReasonTooLarge
+		event = observe.TooLarge
+	case errors.As(err, new(*DepthError)):
+		event = observe.CallLoop
+	}
+	n.log.Emit(event, observe.Err(err))
+	n.metrics.Malformed.With(malformedRequest).Inc(1)
+	return reason
+}
+
 // serverLog carries net/http's own complaints into the event log.
 func (n *Node) serverLog(listener Listener) *log.Logger {
 	return log.New(&eventWriter{node: n, listener: listener}, "", 0)
--- a/node/reset.go
+++ b/node/reset.go
@@ -45,7 +45,8 @@
 // resetConn is a connection that can be ended so that its peer sees a break.
 type resetConn struct {
 	net.Conn
-	raw net.Conn
+	raw  net.Conn
+	idle idleTimer
 }
 
 // reset closes the connection without the usual end of its stream.
--- a/node/routed.go
+++ b/node/routed.go
@@ -10,7 +10,6 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
-	"pollengauge.dev/observe"
 )
 
 // serveRouted is the root of every request where a dialect is spoken: those of
@@ -90,8 +89,7 @@
 	}
 	told, err := n.settings.Dialect.ReadCaller(r.Header)
 	if err != nil {
-		n.log.Emit(observe.BadRequest, observe.Err(err))
-		return nil, n.refuse(call.NotRun, call.ReasonBadRequest, 0)
+		return nil, n.refuse(call.NotRun, n.noteBad(err), 0)
 	}
 	current := n.config.Current()
 	route := current.Route(hostOf(r.Host), rawPath(r))
@@ -101,8 +99,7 @@
 	profile := current.Profile(route.Profile)
 	req, err := n.readRequest(w, r, pickShare(route.Shares, rand.Uint64()), profile)
 	if err != nil {
-		n.log.Emit(observe.BadRequest, observe.Err(err))
-		return nil, n.refuse(call.NotRun, call.ReasonBadRequest, 0)
+		return nil, n.refuse(call.NotRun, n.noteBad(err), 0)
 	}
 	n.strip(req.header)
 	req.idempotent = !profile.Unrepeatable
