--- /dev/null
+++ b/node/adjust_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Operators give the node another grace period and another bound on retries
+// while it runs. Read at the start only, the old ones would hold until a restart:
+// a node would cut work off early, or go on retrying beyond the new bound. A value
+// out of range must change nothing.
+func TestAdjustedSettingsHoldAtOnce(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, echo, func(s *Settings) { s.RetryRatio = 0.2 })
+		f.settle()
+		before := n.budgetOf("desk")
+		f.c.Assert(n.Adjust(Adjustment{DrainTimeout: 3 * time.Second, RetryRatio: 0.2}), qt.IsNil)
+		f.c.Check(n.budgetOf("desk"), qt.Equals, before)
+		f.c.Assert(n.Adjust(Adjustment{DrainTimeout: 3 * time.Second, RetryRatio: 0}), qt.IsNil)
+		for range 1000 {
+			n.budgetOf("desk").OnFirst(n.now())
+		}
+		f.c.Check(n.budgetOf("desk").Allow(n.now()), qt.IsFalse)
+		for _, wrong := range []Adjustment{{DrainTimeout: -1}, {RetryRatio: 2}} {
+			f.c.Check(n.Adjust(wrong), qt.ErrorAs, new(*SettingsError))
+		}
+		f.c.Check(n.adjusted.Load().DrainTimeout, qt.Equals, 3*time.Second)
+	})
+}
--- a/node/budget.go
+++ b/node/budget.go
@@ -37,7 +37,7 @@
 		return b.(*retry.Budget)
 	}
 	b, _ := n.budgets.LoadOrStore(service, retry.NewBudget(retry.BudgetConfig{
-		Ratio: n.settings.RetryRatio,
+		Ratio: max(n.adjusted.Load().RetryRatio, smallestRatio),
 		Burst: noBurst,
 		Start: n.started,
 	}))
--- a/node/drain.go
+++ b/node/drain.go
@@ -58,7 +58,7 @@
 // Drain ends the node gracefully: no call in flight is cut off unless
 // DrainTimeout passes, in which case the error is a *DrainError.
 func (n *Node) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.adjusted.Load().DrainTimeout)
 	defer cancel()
 	n.ending.Store(true)
 	if n.spoken() {
--- a/node/node.go
+++ b/node/node.go
@@ -57,9 +57,11 @@
 	budget  atomic.Pointer[retry.Budget]
 	// budgets has one for each service where a dialect is spoken.
 	budgets sync.Map
-	repeats *retry.Repeats
-	lag     lagMeter
-	offered offered
+	// adjusted has the settings that may have changed since the start.
+	adjusted atomic.Pointer[Adjustment]
+	repeats  *retry.Repeats
+	lag      lagMeter
+	offered  offered
 	// unsettled are fates that no table holds any more.
 	unsettled unsettled
 	keys      *atmostonce.Table
@@ -123,6 +125,7 @@
 		exit:      make(chan struct{}),
 		changes:   newLevelChanges(),
 	}
+	n.adjusted.Store(&Adjustment{DrainTimeout: settings.DrainTimeout, RetryRatio: settings.RetryRatio})
 	n.configSince.Store(n.started.UnixNano())
 	n.id = string(atmostonce.NewIncarnation(rand.Reader))
 	n.visits = newVisits(n.id[:idPrefix] + ".")
--- a/node/settings.go
+++ b/node/settings.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"pollengauge.dev/config"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
@@ -91,7 +92,7 @@
 	Dialect Dialect
 	// RetryRatio bounds the retries on each service where a Dialect is given,
 	// as a share of this node's first attempts; elsewhere the configuration
-	// gives it. 0 takes a tenth.
+	// gives it. 0 allows none; the default is a tenth.
 	RetryRatio float64
 	// ConfigKind and ConfigName are the object that holds the configuration in
 	// the form that Dialect reads. Empty is this project's own object.
@@ -152,6 +153,7 @@
 		Gossip:         "127.0.0.1:0",
 		Admin:          "127.0.0.1:0",
 		Slots:          100,
+		RetryRatio:     config.DefaultRetryRatio,
 		UpstreamConns:  400,
 		PeerConns:      256,
 		PeerCalls:      4096,
