bench/control: no connection is dialled across a cut

Change: a connection is taken in only if its ends are not parted by then. Before: TestNoConnectionIsDialledAcrossACut fails. After: it passes.

--- a/bench/control/control_test.go
+++ b/bench/control/control_test.go
@@ -138,6 +138,7 @@
 			c.Assert(err, qt.IsNil)
 			c.Check(result.Unreached(), qt.Equals, 0, qt.Commentf("%s", result))
 			c.Check(result.String(), qt.Contains, "5 members")
+			t.Log(result)
 			checkMeasured(c, result.Sizes[0], len(phases))
 		})
 	}
--- a/bench/control/network.go
+++ b/bench/control/network.go
@@ -72,14 +72,24 @@
 	parted := h.fabric.parted(h, to)
 	h.fabric.mu.Unlock()
 	if parted {
-		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		return nil, unreachable(ctx)
 	}
 	conn, err := h.fabric.under.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return h.fabric.add(&link{countingConn: countingConn{Conn: conn, host: h}, to: to}), nil
+	l := &link{countingConn: countingConn{Conn: conn, host: h}, to: to}
+	if !h.fabric.add(l) {
+		_ = conn.Close()
+		return nil, unreachable(ctx)
+	}
+	return l, nil
+}
+
+// unreachable waits as a dial does whose packets are lost.
+func unreachable(ctx context.Context) error {
+	<-ctx.Done()
+	return &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
 }
 
 // parted reports whether nothing gets from one host to another. The lock is
@@ -94,11 +104,16 @@
 	return f.cut != "" && (a.zone == f.cut) != (b.zone == f.cut)
 }
 
-func (f *fabric) add(l *link) *link {
+// add counts a connection in, unless its ends were parted while it was dialled:
+// change has not seen it, and it would carry messages across the cut to its end.
+func (f *fabric) add(l *link) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.parted(l.host, l.to) {
+		return false
+	}
 	f.open[l] = struct{}{}
-	return l
+	return true
 }
 
 // connections counts those between nodes that are open.
