node: a refused head gets the form of the listener on which it came

Cause: since the bounds on callers came from the configuration, every request that could not be read was refused in the dialect, also those of other nodes, which then found no outcome in the answer and took a proved not-run for an unknown. Seen in reading the diff, not in a run. Change: the dialect's form is for callers' listeners only. Before: TestCallersKeepToTheLimitsOfTheConfiguration, with the request on the peer listener, gets no outcome. After: not-run; node with -race passes.

--- a/node/callerlimits.go
+++ b/node/callerlimits.go
@@ -14,8 +14,8 @@
 // open connections by the hundred, and what they leave holds descriptors.
 const spokenIdleTimeout = 15 * time.Second
 
-// serves tells whether callers from outside use l.
-func (n *Node) serves(l Listener) bool {
+// forCallers tells whether callers from outside use l.
+func (n *Node) forCallers(l Listener) bool {
 	return l == EdgeListener || (l == OutboundListener && n.spoken())
 }
 
@@ -55,12 +55,15 @@
 // longestIdle is what net/http itself allows a connection of l. Those of callers
 // are ended by watchIdle.
 func (n *Node) longestIdle(l Listener) time.Duration {
-	if n.serves(l) {
+	if n.forCallers(l) {
 		return time.Duration(config.MaxIdleTimeout)
 	}
 	return keepAliveTimeout
 }
 
+// longAgo is a deadline that ends a read at once.
+var longAgo = time.Unix(1, 0)
+
 // watchIdle ends a caller's connection that has been idle for as long as the
 // configuration allows. net/http can't: its time is fixed with the server.
 //
@@ -73,7 +76,7 @@
 		return
 	}
 	if state == http.StateIdle {
-		c.idle.start(n.idleTimeout(), func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+		c.idle.start(n.idleTimeout(), func() { _ = c.SetReadDeadline(longAgo) })
 		return
 	}
 	c.idle.stop()
--- a/node/callerlimits_test.go
+++ b/node/callerlimits_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 )
 
@@ -66,12 +67,12 @@
 func TestCallersKeepToTheLimitsOfTheConfiguration(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		told := &events{}
-		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, next func(string, string, string) (*http.Response, error)) {
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
 			f.runs.add("desk", r.Header.Get("X-Id"))
-			echo(w, r, call)
+			echo(w, r, next)
 		}, logged(f.c, told))
 		f.settle()
 		f.offerLimits(n, 2, config.Limits{RetryRatio: config.DefaultRetryRatio, HeaderBytes: 2048, BodyBytes: 1000})
@@ -98,6 +99,10 @@
 			f.c.Check(f.runs.of("desk", one.id), qt.Equals, one.runs, qt.Commentf(one.id))
 		}
 		f.c.Check(told.has("too-large"), qt.IsTrue)
+		// Nodes speak the project's own form among each other.
+		resp := f.raw(n, PeerListener, "GET /browse/x HTTP/1.1\r\nHost: desk\r\nConnection: close\r\nA: "+strings.Repeat("a", 40<<10)+"\r\n\r\n")
+		f.c.Assert(resp, qt.IsNotNil)
+		f.c.Check(resp.Header.Get(call.HeaderOutcome), qt.Equals, "not-run")
 		time.Sleep(time.Second) // net/http waits before it closes
 	})
 }
--- a/node/guard.go
+++ b/node/guard.go
@@ -70,14 +70,17 @@
 		// The deadline of the answer before on this connection ends here.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		err := limit.check(r)
-		if err == nil && n.serves(listener) {
+		if err == nil && n.forCallers(listener) {
 			err = n.limitCaller(w, r)
 		}
-		if err != nil {
+		switch {
+		case err == nil:
+			next.ServeHTTP(w, r)
+		case n.spoken() && n.forCallers(listener):
+			n.writeRefused(w, n.refuse(call.NotRun, n.noteBad(err), 0), r)
+		default:
 			n.writeBad(w, r, err)
-			return
 		}
-		next.ServeHTTP(w, r)
 	})
 }
 
@@ -99,7 +102,7 @@
 // connState follows the connections of a listener.
 func (n *Node) connState(listener Listener, limit int) func(net.Conn, http.ConnState) {
 	count := n.countConns(listener, limit)
-	if !n.serves(listener) {
+	if !n.forCallers(listener) {
 		return count
 	}
 	return func(conn net.Conn, state http.ConnState) {
--- a/node/notes.go
+++ b/node/notes.go
@@ -69,10 +69,6 @@
 		outcome = call.Unknown
 	}
 	a := n.refuse(outcome, reason, 0)
-	if n.spoken() {
-		n.writeRefused(w, a, r)
-		return
-	}
 	if errors.As(err, new(*HeadError)) {
 		a.status = http.StatusRequestHeaderFieldsTooLarge
 	}
