bench, demo: one copy of the wait that a context ends and of faulty configurations

Purpose: demo had a wait of its own beside objects.Pause, and two benchmarks each their own errors of a configuration. Tests of demo and bench pass with -race.

--- a/bench/control/config.go
+++ b/bench/control/config.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"pollengauge.dev/bench/internal/check"
 )
 
 // Phase is one part of a run.
@@ -105,60 +107,49 @@
 	maxDuration    = 10 * time.Minute
 )
 
+// FieldError and ConfigError tell of fields that can't be used.
+type (
+	FieldError  = check.FieldError
+	ConfigError = check.ConfigError
+)
+
 // Check returns a *ConfigError that lists every wrong field, or nil.
 func (c Config) Check() error {
-	var problems []FieldError
+	problems := &ConfigError{}
 	if len(c.Sizes) == 0 {
-		problems = append(problems, FieldError{Field: "sizes", Value: "", Want: "at least one"})
+		problems.Add("sizes", "", "at least one")
 	}
 	for _, size := range c.Sizes {
-		if size < minSize || size > maxSize {
-			problems = append(problems, FieldError{
-				Field: "sizes",
-				Value: strconv.Itoa(size),
-				Want:  strconv.Itoa(minSize) + " to " + strconv.Itoa(maxSize),
-			})
-		}
+		problems.Number("sizes", size, minSize, maxSize)
 	}
 	for _, phase := range c.Phases {
 		if !slices.Contains(Phases, phase) {
-			problems = append(problems, FieldError{Field: "phases", Value: string(phase), Want: "one of " + phaseNames()})
+			problems.Add("phases", string(phase), "one of "+phaseNames())
 		}
 	}
 	if c.Wave < 1 {
-		problems = append(problems, FieldError{Field: "wave", Value: strconv.Itoa(c.Wave), Want: "at least 1"})
-	}
-	if c.Others < 0 || c.Others > maxSize {
-		problems = append(problems, FieldError{Field: "others", Value: strconv.Itoa(c.Others), Want: "0 to " + strconv.Itoa(maxSize)})
+		problems.Add("wave", strconv.Itoa(c.Wave), "at least 1")
 	}
+	problems.Number("others", c.Others, 0, maxSize)
 	if c.Others > 0 && (c.Join.Gossip == "" || c.Join.Platform == "") {
-		problems = append(problems, FieldError{Field: "join", Value: c.Join.Gossip, Want: "gossip address and platform of the others"})
-	}
-	problems = append(problems, c.durations()...)
-	if len(problems) == 0 {
-		return nil
+		problems.Add("join", c.Join.Gossip, "gossip address and platform of the others")
 	}
-	return &ConfigError{Problems: problems}
+	c.durations(problems)
+	return problems.Result()
 }
 
-func (c Config) durations() []FieldError {
-	var problems []FieldError
-	check := func(field string, value, low time.Duration) {
+func (c Config) durations(problems *ConfigError) {
+	between := func(field string, value, low time.Duration) {
 		if value < low || value > maxDuration {
-			problems = append(problems, FieldError{
-				Field: field,
-				Value: value.String(),
-				Want:  low.String() + " to " + maxDuration.String(),
-			})
+			problems.Add(field, value.String(), low.String()+" to "+maxDuration.String())
 		}
 	}
-	check("settle", c.Settle, 0)
-	check("window", c.Window, 100*time.Millisecond)
-	check("tail", c.Tail, 0)
-	check("hold", c.Hold, 0)
-	check("late", c.Late, 0)
-	check("limit", c.Limit, time.Second)
-	return problems
+	between("settle", c.Settle, 0)
+	between("window", c.Window, 100*time.Millisecond)
+	between("tail", c.Tail, 0)
+	between("hold", c.Hold, 0)
+	between("late", c.Late, 0)
+	between("limit", c.Limit, time.Second)
 }
 
 func phaseNames() string {
@@ -169,26 +160,6 @@
 	return strings.Join(names, ", ")
 }
 
-// FieldError is one field of a Config that can't be used.
-type FieldError struct{ Field, Value, Want string }
-
-// Error implements error.
-func (e *FieldError) Error() string {
-	return e.Field + " " + strconv.Quote(e.Value) + ": want " + e.Want
-}
-
-// ConfigError lists what is wrong with a Config.
-type ConfigError struct{ Problems []FieldError }
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	lines := make([]string, len(e.Problems))
-	for i := range e.Problems {
-		lines[i] = e.Problems[i].Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // FleetError means that the fleet could not be started or changed.
 type FleetError struct {
 	// Step is what was being done.
--- a/bench/hop/config.go
+++ b/bench/hop/config.go
@@ -1,9 +1,6 @@
 package hop
 
-import (
-	"strconv"
-	"strings"
-)
+import "pollengauge.dev/bench/internal/check"
 
 // Config is one run.
 type Config struct {
@@ -36,46 +33,21 @@
 	maxBody    = 1 << 20
 )
 
+// FieldError and ConfigError tell of fields that are out of their range.
+type (
+	FieldError  = check.FieldError
+	ConfigError = check.ConfigError
+)
+
 // Check returns a *ConfigError that lists every wrong field, or nil.
 func (c Config) Check() error {
-	var problems []FieldError
-	number := func(field string, value, low, high int) {
-		if value < low || value > high {
-			problems = append(problems, FieldError{Field: field, Value: value, Low: low, High: high})
-		}
-	}
-	number("rate", c.Rate, 1, maxRate)
-	number("calls", c.Calls, 1, maxCalls)
-	number("repeats", c.Repeats, 1, maxRepeats)
-	number("body", c.Body, 0, maxBody)
-	number("cold", c.Cold, 0, maxCalls)
-	if len(problems) == 0 {
-		return nil
-	}
-	return &ConfigError{Problems: problems}
-}
-
-// FieldError is one field of a Config that is out of its range.
-type FieldError struct {
-	Field            string
-	Value, Low, High int
-}
-
-// Error implements error.
-func (e *FieldError) Error() string {
-	return e.Field + " " + strconv.Itoa(e.Value) + ": want " + strconv.Itoa(e.Low) + " to " + strconv.Itoa(e.High)
-}
-
-// ConfigError lists what is wrong with a Config.
-type ConfigError struct{ Problems []FieldError }
-
-// Error implements error.
-func (e *ConfigError) Error() string {
-	lines := make([]string, len(e.Problems))
-	for i := range e.Problems {
-		lines[i] = e.Problems[i].Error()
-	}
-	return strings.Join(lines, "\n")
+	problems := &ConfigError{}
+	problems.Number("rate", c.Rate, 1, maxRate)
+	problems.Number("calls", c.Calls, 1, maxCalls)
+	problems.Number("repeats", c.Repeats, 1, maxRepeats)
+	problems.Number("body", c.Body, 0, maxBody)
+	problems.Number("cold", c.Cold, 0, maxCalls)
+	return problems.Result()
 }
 
 // SetupError means that the nodes and upstreams could not be made ready.
--- a/bench/hop/hop_test.go
+++ b/bench/hop/hop_test.go
@@ -50,7 +50,7 @@
 	var bad *ConfigError
 	c.Assert(err, qt.ErrorAs, &bad)
 	c.Check(bad.Problems, qt.DeepEquals, []FieldError{
-		{Field: "rate", Value: 0, Low: 1, High: maxRate},
-		{Field: "body", Value: -1, Low: 0, High: maxBody},
+		{Field: "rate", Value: "0", Want: "1 to 20000"},
+		{Field: "body", Value: "-1", Want: "0 to 1048576"},
 	})
 }
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -5,10 +5,10 @@
 	"strconv"
 	"time"
 
-	"pollengauge.dev/demo/internal/wait"
 	"pollengauge.dev/demo/load"
 	"pollengauge.dev/demo/report"
 	"pollengauge.dev/node"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/standin"
 )
 
@@ -55,7 +55,7 @@
 			took := strconv.FormatInt(time.Since(started).Milliseconds(), 10)
 			return report.NewPromise(claimInForce, true, "version "+strconv.FormatUint(version, 10)+" on "+strconv.Itoa(len(versions))+" nodes after "+took+" ms")
 		}
-		wait.Sleep(ctx, versionPoll)
+		objects.Pause(ctx, versionPoll)
 	}
 	return report.NewPromise(claimInForce, false, "not on every node after "+inForceBound.String())
 }
@@ -71,7 +71,7 @@
 			}
 			seen[running] = version
 		}
-		wait.Sleep(ctx, versionPoll)
+		objects.Pause(ctx, versionPoll)
 	}
 	s.promise(report.NewPromise(claimNoRevert, reverted == 0, strconv.Itoa(reverted)+" reversions seen"))
 }
@@ -102,7 +102,7 @@
 	s.drained = drainSpan{edge: edge, start: time.Since(s.start)}
 	leaving.SetDraining(true)
 	s.nodes.edgeList.remove(old.service.Name, edge)
-	wait.Sleep(ctx, directoryLag)
+	objects.Pause(ctx, directoryLag)
 	err := leaving.Drain(ctx)
 	s.drained.end = time.Since(s.start)
 	s.nodes.forget(old)
@@ -142,7 +142,7 @@
 	edge := running.Addr("edge")
 	lost.upstream.Close()
 	running.Close()
-	wait.Sleep(ctx, directoryLag)
+	objects.Pause(ctx, directoryLag)
 	s.nodes.edgeList.remove(lost.service.Name, edge)
 }
 
--- a/demo/load/client.go
+++ b/demo/load/client.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"pollengauge.dev/call"
-	"pollengauge.dev/demo/internal/wait"
 	"pollengauge.dev/demo/upstream"
+	"pollengauge.dev/objects"
 )
 
 // maxAnswerBytes bounds what a client reads of one answer.
@@ -27,7 +27,7 @@
 		t.AnsweredAt = time.Now()
 		t.Answered = t.AnsweredAt.Sub(r.start)
 	}()
-	wait.Sleep(ctx, r.Delay)
+	objects.Pause(ctx, r.Delay)
 	resp, err := r.send(ctx, class, addr, key, stamp)
 	if err != nil {
 		return t
@@ -38,7 +38,7 @@
 		// The client knows that the answer was cut, so it claims nothing.
 		return t
 	}
-	wait.Sleep(ctx, r.Delay)
+	objects.Pause(ctx, r.Delay)
 	judge(&t, class, stamp, resp, body)
 	return t
 }
--- a/demo/load/runner.go
+++ b/demo/load/runner.go
@@ -12,8 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"pollengauge.dev/demo/internal/wait"
 	"pollengauge.dev/demo/upstream"
+	"pollengauge.dev/objects"
 )
 
 // Edges tells where clients reach a service at this moment.
@@ -53,7 +53,7 @@
 	open := make(chan struct{}, r.MaxInFlight)
 	var group sync.WaitGroup
 	for i, arrival := range plan {
-		wait.Sleep(ctx, arrival.At-time.Since(r.start))
+		objects.Pause(ctx, arrival.At-time.Since(r.start))
 		records[i] = Record{Arrival: arrival}
 		select {
 		case open <- struct{}{}:
@@ -84,7 +84,7 @@
 			break
 		}
 		if try < class.Retry.Tries {
-			wait.Sleep(ctx, class.Retry.wait(t))
+			objects.Pause(ctx, class.Retry.wait(t))
 		}
 	}
 	record.Result = record.last().Result
--- a/demo/network.go
+++ b/demo/network.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"pollengauge.dev/demo/internal/wait"
+	"pollengauge.dev/objects"
 )
 
 // delays knows in which availability zone each address is and how far zones
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wait.Sleep(ctx, n.delays.connect)
+	objects.Pause(ctx, n.delays.connect)
 	oneWay := n.delays.oneWay(n.zone, addr)
 	if oneWay == 0 {
 		return conn, nil
--- a/demo/nodes.go
+++ b/demo/nodes.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"pollengauge.dev/config"
-	"pollengauge.dev/demo/internal/wait"
 	"pollengauge.dev/demo/upstream"
 	"pollengauge.dev/node"
+	"pollengauge.dev/objects"
 	"pollengauge.dev/standin"
 )
 
@@ -136,7 +136,7 @@
 func (n *nodeFabric) keepAnnouncing(v *vm, to *node.Node) {
 	for n.ctx.Err() == nil && n.node(v) == to {
 		_ = n.announce(n.ctx, v, to)
-		wait.Sleep(n.ctx, announceInterval)
+		objects.Pause(n.ctx, announceInterval)
 	}
 }
 
--- a/demo/ready.go
+++ b/demo/ready.go
@@ -10,8 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"pollengauge.dev/call"
-	"pollengauge.dev/demo/internal/wait"
 	"pollengauge.dev/demo/upstream"
+	"pollengauge.dev/objects"
 )
 
 const (
@@ -42,7 +42,7 @@
 			if ctx.Err() != nil {
 				return &ReadyError{System: service, Reason: "call from " + v.service.Name + "/" + strconv.Itoa(v.replica) + ": " + got}
 			}
-			wait.Sleep(ctx, readyPoll)
+			objects.Pause(ctx, readyPoll)
 		}
 	}
 	return nil
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"pollengauge.dev/demo/internal/wait"
 	"pollengauge.dev/demo/load"
 	"pollengauge.dev/demo/report"
+	"pollengauge.dev/objects"
 )
 
 // The course of a run at time scale 1. Every system gets the same load up to
@@ -103,7 +103,7 @@
 			continue
 		}
 		group.Go(func() {
-			wait.Sleep(ctx, time.Until(s.start.Add(at)))
+			objects.Pause(ctx, time.Until(s.start.Add(at)))
 			if ctx.Err() == nil {
 				e.do(s, ctx)
 			}
--- a/demo/upstream/execution.go
+++ b/demo/upstream/execution.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"pollengauge.dev/demo/internal/wait"
+	"pollengauge.dev/objects"
 )
 
 // execution is one request being served.
@@ -83,7 +83,7 @@
 	x.begun = true
 	x.entry.Begin(start)
 	took := time.Duration(float64(u.draw(d)) * u.faults.slow())
-	finished := wait.Sleep(ctx, took) && u.faults.awaitThaw(ctx)
+	finished := objects.Pause(ctx, took) && u.faults.awaitThaw(ctx)
 	x.entry.AddWork(time.Since(start))
 	if !finished {
 		return goneFailure()
