routing: calls stay where their zone has a choice

Change: only a call whose zone has one usable upstream leaves it for a quicker one. Before: TestCallsStayWhereTheZoneHasAChoice fails. After: it passes.

--- a/routing/quicker.go
+++ b/routing/quicker.go
@@ -21,9 +21,11 @@
 // quicker returns a target of the region's other zones at which the call is
 // likely to end so much sooner than at local that it should leave its zone, or
 // nil. Targets that are under pressure or in slow start are not taken for quick.
+// Where the zone has several usable targets the calls stay: their cost by latency
+// finds the quicker of them without a byte between zones.
 func (c *choice) quicker(local *member) *member {
 	home := local.target.WorkTimes.of(c.profile)
-	if home == 0 || c.left <= 0 {
+	if home == 0 || c.left <= 0 || !c.alone {
 		return nil
 	}
 	quickest := c.quickest(home)
--- a/routing/quicker_test.go
+++ b/routing/quicker_test.go
@@ -73,6 +73,17 @@
 	c.Check(placed, qt.DeepEquals, map[string]int{"slow": calls})
 }
 
+// The zone has two upstreams, one of them slow. Calls that left it for a quick one
+// elsewhere would cost bytes between zones that a choice within the zone does not.
+func TestCallsStayWhereTheZoneHasAChoice(t *testing.T) {
+	c := qt.New(t)
+	targets := speeds(100)
+	targets[1].Zone = "a"
+	_, placed := place(c, targets, 800*time.Millisecond, bookingProfile, 2000)
+	c.Check(placed["quick"], qt.Equals, 0)
+	c.Check(placed["usual"] > placed["slow"], qt.IsTrue)
+}
+
 // The quick upstream fills up. Were calls still sent there for its speed, they
 // would be refused although their own zone has room.
 func TestQuickUpstreamUnderPressureIsLeftAlone(t *testing.T) {
