node: requests that callers send behind one another run side by side

Change: pipelining.Conn stands between the socket and net/http and looks at the bytes on their way; whole repeatable requests without a body that stand behind the one being served are begun at once, and their handlers find the answer when net/http comes to them. Framing, order, deadlines of writing and the end of connections stay net/http's.

--- /dev/null
+++ b/node/ahead_test.go
@@ -0,0 +1,164 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// workTime is how long the upstreams of these tests work on a request.
+const workTime = 300 * time.Millisecond
+
+// sendBehind sends requests to paths behind one another, with ids r0, r1 and so
+// on, and returns the connection.
+func (f *fleet) sendBehind(n *Node, paths ...string) net.Conn {
+	conn := f.stranger(n, OutboundListener)
+	for i, path := range paths {
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: desk.example\r\nX-Id: r"+strconv.Itoa(i)+"\r\n\r\n")
+		f.c.Assert(err, qt.IsNil)
+	}
+	return conn
+}
+
+// expectInOrder reads the answers to r0, r1 and so on.
+func (f *fleet) expectInOrder(answers *bufio.Reader, count int) {
+	for i := range count {
+		resp, err := http.ReadResponse(answers, nil)
+		f.c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(resp.Body)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Check(string(body), qt.Equals, "answer to r"+strconv.Itoa(i))
+	}
+}
+
+// A caller sends five searches on one connection before the first is answered.
+// Served in turn, the last one took five times the work of one and was late,
+// although upstreams had room for all. They have to run side by side, and their
+// answers to come in the order in which they were asked for.
+func TestRequestsBehindOneAnotherRunSideBySide(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			id := r.Header.Get("X-Id")
+			if id != "r3" {
+				time.Sleep(workTime) // r3 is ready first and has to wait
+			}
+			echo(w, r, call)
+		})
+		f.settle()
+		began := time.Now()
+		conn := f.sendBehind(n, "/browse/a", "/browse/b", "/browse/c", "/browse/d", "/browse/e")
+		defer conn.Close()
+		f.expectInOrder(bufio.NewReader(conn), 5)
+		took := time.Since(began)
+		f.c.Check(took < 2*workTime, qt.IsTrue, qt.Commentf("took %s", took))
+		f.c.Check(n.begun.Load(), qt.Equals, int64(0))
+	})
+}
+
+// A filing stands behind two searches and before two others. Begun before its turn,
+// it could run and its caller then find the connection closed before its answer.
+// It has to wait until what stands before it is answered. Searches behind it may
+// run beside it.
+func TestUnrepeatableRequestsWaitForTheirTurn(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		var before, early atomic.Int64
+		before.Store(2)
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			if r.URL.Path == "/file/c" {
+				early.Store(before.Load())
+			}
+			time.Sleep(workTime)
+			before.Add(-1)
+			echo(w, r, call)
+		})
+		f.settle()
+		conn := f.sendBehind(n, "/browse/a", "/browse/b", "/file/c", "/browse/d", "/browse/e")
+		defer conn.Close()
+		began := time.Now()
+		f.expectInOrder(bufio.NewReader(conn), 5)
+		f.c.Check(early.Load(), qt.Equals, int64(0), qt.Commentf("requests before it that still ran"))
+		f.c.Check(time.Since(began) < 3*workTime, qt.IsTrue, qt.Commentf("what stands behind it runs beside it"))
+	})
+}
+
+// A caller leaves while five of its searches run. All of them have to stop:
+// before, the node noticed an end of the connection only for the first one.
+func TestCallersThatLeaveStopAllThatTheyBegan(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		var stopped, ended sync.WaitGroup
+		stopped.Add(4)
+		ended.Add(4)
+		n := f.addRouted("a", "desk", 10, func(_ http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			stopped.Done()
+			<-r.Context().Done()
+			ended.Done()
+		})
+		f.settle()
+		conn := f.sendBehind(n, "/browse/a", "/browse/b", "/browse/c", "/browse/d")
+		stopped.Wait()
+		began := time.Now()
+		_ = conn.Close()
+		ended.Wait()
+		f.c.Check(time.Since(began) < 100*time.Millisecond, qt.IsTrue)
+		time.Sleep(time.Second)
+		f.c.Check(n.active.Load(), qt.Equals, int64(0))
+		f.c.Check(n.begun.Load(), qt.Equals, int64(0))
+	})
+}
+
+// A node is told to end while searches that stand behind one another run. Closed
+// with the first answer, the connection would lose the others, whose work is
+// done. The last of them has to be the one that closes it.
+func TestEndAnswersWhatWasBegunBehind(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			time.Sleep(workTime)
+			echo(w, r, call)
+		})
+		f.settle()
+		conn := f.sendBehind(n, "/browse/a", "/browse/b", "/browse/c")
+		defer conn.Close()
+		time.Sleep(workTime / 2)
+		n.ending.Store(true)
+		answers := bufio.NewReader(conn)
+		for i := range 3 {
+			resp, err := http.ReadResponse(answers, nil)
+			f.c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			f.c.Assert(err, qt.IsNil)
+			f.c.Check(resp.Close, qt.Equals, i == 2, qt.Commentf("answer %d", i))
+		}
+		_, err := answers.ReadByte()
+		f.c.Check(err, qt.IsNotNil)
+	})
+}
+
+// More requests stand behind one another than a connection may begin early. The
+// rest is begun as the first are answered, and none is lost.
+func TestMoreRequestsThanBeginEarlyAreAllAnswered(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 100, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			time.Sleep(workTime)
+			echo(w, r, call)
+		})
+		f.settle()
+		paths := make([]string, 50)
+		for i := range paths {
+			paths[i] = "/browse/x"
+		}
+		conn := f.sendBehind(n, paths...)
+		defer conn.Close()
+		f.expectInOrder(bufio.NewReader(conn), len(paths))
+		_, err := io.WriteString(conn, "GET /browse/x HTTP/1.1\r\nHost: desk.example\r\nX-Id: r0\r\n\r\n")
+		f.c.Assert(err, qt.IsNil)
+		f.expectInOrder(bufio.NewReader(conn), 1)
+	})
+}
--- a/node/callerlimits.go
+++ b/node/callerlimits.go
@@ -71,12 +71,12 @@
 // the node's fixed time, as their configuration allowed. The node had closed
 // them, and each such request ended without an answer.
 func (n *Node) watchIdle(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*resetConn)
+	c, ok := resetConnOf(conn)
 	if !ok {
 		return
 	}
 	if state == http.StateIdle {
-		c.idle.start(n.idleTimeout(), func() { _ = c.SetReadDeadline(longAgo) })
+		c.idle.start(n.idleTimeout(), func() { _ = conn.SetReadDeadline(longAgo) })
 		return
 	}
 	c.idle.stop()
--- a/node/edge.go
+++ b/node/edge.go
@@ -26,6 +26,10 @@
 	}
 	n.active.Add(1)
 	defer n.active.Add(-1)
+	if run := turnOf(r); run != nil {
+		n.serveBegun(w, r, run)
+		return
+	}
 	n.noteForged(r)
 	stripOwn(r.Header)
 	req, err := n.rootRequest(w, r, n.settings.Service)
@@ -38,12 +42,23 @@
 
 // serveRoot runs a root request, writes its answer and returns the report.
 func (n *Node) serveRoot(w http.ResponseWriter, r *http.Request, req *request) call.Report {
+	a := n.answerRoot(r.Context(), req)
+	defer a.close()
+	return n.writeRoot(w, req, a)
+}
+
+// answerRoot runs a root request to its answer.
+func (n *Node) answerRoot(ctx context.Context, req *request) *answer {
 	start := n.now()
 	n.noteRepeat(req)
-	a := n.runRoot(r.Context(), req)
+	a := n.runRoot(ctx, req)
 	n.finishRefusal(a, req)
-	defer a.close()
 	n.recordRoot(req, a, start)
+	return a
+}
+
+// writeRoot writes the answer to a root request and returns its report.
+func (n *Node) writeRoot(w http.ResponseWriter, req *request, a *answer) call.Report {
 	if !n.spoken() {
 		w.Header().Set(call.HeaderRequest, req.call.RequestID)
 	}
@@ -183,10 +198,29 @@
 
 // readRequest reads the bounded parts of a request.
 func (n *Node) readRequest(w http.ResponseWriter, r *http.Request, service string, profile *config.Profile) (*request, error) {
-	controller := http.NewResponseController(w)
+	body := &replayBody{}
 	if r.ContentLength != 0 {
-		_ = controller.SetReadDeadline(time.Now().Add(n.settings.BodyTimeout))
+		var err error
+		if body, err = n.readRequestBody(w, r); err != nil {
+			return nil, err
+		}
 	}
+	return &request{
+		method:     r.Method,
+		service:    service,
+		url:        r.URL,
+		header:     r.Header,
+		body:       body,
+		trailer:    r.Trailer,
+		profile:    profile,
+		idempotent: idempotentMethod(r.Method, profile),
+	}, nil
+}
+
+// readRequestBody reads the part of a body that is held for further attempts.
+func (n *Node) readRequestBody(w http.ResponseWriter, r *http.Request) (*replayBody, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(n.settings.BodyTimeout))
 	body, err := readBody(r.Body, r.ContentLength, n.settings.MaxReplayBytes)
 	if err != nil {
 		return nil, &BodyError{Cause: err}
@@ -200,16 +234,7 @@
 		_ = controller.SetReadDeadline(time.Time{})
 		n.strip(r.Trailer)
 	})
-	return &request{
-		method:     r.Method,
-		service:    service,
-		url:        r.URL,
-		header:     r.Header,
-		body:       body,
-		trailer:    r.Trailer,
-		profile:    profile,
-		idempotent: idempotentMethod(r.Method, profile),
-	}, nil
+	return body, nil
 }
 
 // keyOf reads the idempotency key, "" without one. One that can't be used is
--- a/node/ending.go
+++ b/node/ending.go
@@ -80,10 +80,16 @@
 // It does the same while the listener is crowded. The failure: idle connections
 // of callers take all that the listener may hold, and new ones wait to be
 // accepted until their callers have left; their requests are passed on then.
-func (n *Node) retireConn(h http.Header) {
+//
+// Requests that were begun behind this one are answered first: closed before
+// them, the connection would make their callers send them again.
+func (n *Node) retireConn(h http.Header, r *http.Request) {
 	const percent = 100
 	crowded := n.conns[OutboundListener].Load() > int64(n.settings.EdgeConns)*crowdedShare/percent
-	if n.ending.Load() || crowded {
+	if !n.ending.Load() && !crowded {
+		return
+	}
+	if conn := connOf(r); conn == nil || conn.Last() {
 		h.Set("Connection", "close")
 	}
 }
--- a/node/guard.go
+++ b/node/guard.go
@@ -67,6 +67,10 @@
 	limit := n.headLimitOf(listener)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer n.recovered(listener, w, r)
+		if conn := connOf(r); conn != nil {
+			conn.Serve(r)
+			defer conn.Done()
+		}
 		// The deadline of the answer before on this connection ends here.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		err := limit.check(r)
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -115,6 +115,10 @@
 		return
 	}
 	listener := limitListener(n.listeners[name], conns)
+	if n.forCallers(name) {
+		listener = n.readAhead(listener)
+		server.ConnContext = withConn
+	}
 	n.servers = append(n.servers, server)
 	n.done.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/node/node.go
+++ b/node/node.go
@@ -89,7 +89,9 @@
 	listeners map[Listener]net.Listener
 	servers   []*http.Server
 	active    atomic.Int64
-	draining  atomic.Bool
+	// begun counts the requests that were begun before their turn.
+	begun    atomic.Int64
+	draining atomic.Bool
 	// ending is set once the process is to end.
 	ending atomic.Bool
 	// closed is set once it takes no requests any more.
--- a/node/reset.go
+++ b/node/reset.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"golang.org/x/net/netutil"
+
+	"pollengauge.dev/node/pipelining"
 )
 
 // limitListener returns a listener of at most that many connections, each of
@@ -71,9 +73,18 @@
 	if err != nil {
 		return
 	}
-	if c, ok := conn.(*resetConn); ok {
+	if c, ok := resetConnOf(conn); ok {
 		c.reset()
-		return
 	}
 	_ = conn.Close()
 }
+
+// resetConnOf returns the resetConn that a listener's connection is, or is built
+// on.
+func resetConnOf(conn net.Conn) (*resetConn, bool) {
+	if ahead, ok := conn.(*pipelining.Conn); ok {
+		conn = ahead.Conn
+	}
+	c, ok := conn.(*resetConn)
+	return c, ok
+}
--- a/node/routed.go
+++ b/node/routed.go
@@ -17,7 +17,11 @@
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request) {
 	n.active.Add(1)
 	defer n.active.Add(-1)
-	n.retireConn(w.Header())
+	n.retireConn(w.Header(), r)
+	if run := turnOf(r); run != nil {
+		n.serveBegun(w, r, run)
+		return
+	}
 	req, refused := n.routedRequest(w, r)
 	if refused != nil {
 		n.writeRefused(w, refused, r)
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -47,9 +47,9 @@
 	PlatformCalls Counters
 	PlatformTime  Histograms
 
-	RootsWithoutContext, ForgedHeaders, Panics metrics.Counter
-	Malformed                                  Counters
-	Spans                                      Counters
+	RootsWithoutContext, ForgedHeaders, Panics, Begun metrics.Counter
+	Malformed                                         Counters
+	Spans                                             Counters
 
 	// RetryBudgetLeft, ServiceLevel and ServiceLoad are by service.
 	RetryBudgetLeft, ServiceLevel Gauges
@@ -134,6 +134,7 @@
 	m.ForgedHeaders = m.counters(forgedMetric).With()
 	m.Malformed = m.counters(malformedMetric)
 	m.Panics = m.counters(panicsMetric).With()
+	m.Begun = m.counters(begunMetric).With()
 	m.Spans = m.counters(spansMetric)
 }
 
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -83,6 +83,7 @@
 	forgedMetric    = define("pollengauge_forged_headers_total", CounterKind, unitCount, "Requests from outside that carried headers only nodes may set.")
 	malformedMetric = define("pollengauge_malformed_total", CounterKind, unitCount, "Messages, headers and answers that could not be read, by source.", "source")
 	panicsMetric    = define("pollengauge_panics_total", CounterKind, unitCount, "Panics recovered while serving.")
+	begunMetric     = define("pollengauge_requests_begun_early_total", CounterKind, unitCount, "Requests that were begun while a request before them on their caller's connection was not answered yet.")
 	spansMetric     = define("pollengauge_spans_total", CounterKind, unitCount, "Spans handed to the exporter, by result.", "result")
 )
 
