--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -218,15 +218,49 @@
 		f.c.Check(n.draining.Load(), qt.IsFalse)
 		announce("old", 3, true)
 		f.c.Check(n.upstream.Load().Instance, qt.Equals, "new")
-		n.Leaving("old")
+		n.Leaving("old", 0)
 		f.c.Check(n.draining.Load(), qt.IsFalse)
 		announce("old", 9, false)
 		f.c.Check(n.upstream.Load().Instance, qt.Equals, "new")
-		n.Leaving("new")
+		n.Leaving("new", 0)
 		f.c.Check(n.draining.Load(), qt.IsTrue)
 	})
 }
 
+// An upstream starts again under the name that it had, with its counts anew.
+// Known by its name alone it was taken for a late word of its earlier life, or for
+// one that had left, and got no calls any more. What was held about that life has
+// to end, and its late words to change nothing.
+func TestUpstreamsComeBackUnderTheirName(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("vm", "desk", 10, echo)
+		a := n.upstream.Load().Announcement
+		a.Instance = "i"
+		announce := func(born int64, sequence uint64, draining bool) {
+			a.Born, a.Sequence, a.Draining = born, sequence, draining
+			f.c.Assert(n.Announce(a), qt.IsNil)
+		}
+		announce(1000, 40, false)
+		first := n.upstream.Load().transport
+		announce(1000, 41, true)
+		n.Leaving("i", 1000)
+		f.c.Check(n.draining.Load(), qt.IsTrue)
+		announce(9000, 1, false)
+		f.c.Check(n.draining.Load(), qt.IsFalse)
+		f.c.Check(n.upstream.Load().Born, qt.Equals, int64(9000))
+		f.c.Check(n.upstream.Load().transport != first, qt.IsTrue, qt.Commentf("connections of the earlier life are kept"))
+		n.Leaving("i", 1000)
+		announce(1000, 50, true)
+		f.c.Check(n.draining.Load(), qt.IsFalse, qt.Commentf("late words of the earlier life"))
+		f.c.Check(n.upstream.Load().Born, qt.Equals, int64(9000))
+		announce(9000, 1, true)
+		f.c.Check(n.draining.Load(), qt.IsFalse, qt.Commentf("a repeated announcement"))
+		time.Sleep(lifeSilence)
+		announce(5000, 1, false)
+		f.c.Check(n.upstream.Load().Born, qt.Equals, int64(5000), qt.Commentf("the clock was set back"))
+	})
+}
+
 // The upstream restarts, and requests meant for the old incarnation are refused
 // by the new one. Its own word for who it is must be enough to go on.
 func TestRestartedUpstreamIsKnownByItsAnswer(t *testing.T) {
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -28,9 +28,14 @@
 	// Load is the upstream's own report, 1.0 being full. It lags or misleads,
 	// so it may lower the limit and never raises it.
 	Load float64 `json:"load,omitempty"`
-	// Instance is the upstream's incarnation, new at each of its starts. "":
-	// the upstream does not tell.
+	// Instance names the upstream. With Born it is its incarnation. "": the
+	// upstream does not tell.
 	Instance string `json:"instance,omitempty"`
+	// Born is when the upstream started, in milliseconds of the Unix epoch, by its
+	// own clock. An upstream may start again under the Instance that it had; it
+	// then knows nothing of before, and its Sequence starts anew. 0: it does not
+	// tell.
+	Born int64 `json:"born,omitempty"`
 	// Draining tells that the upstream is about to leave and takes no new calls.
 	Draining bool `json:"draining,omitempty"`
 	// Sequence rises with each announcement of an incarnation, so that a late
@@ -82,7 +87,7 @@
 	}
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	if !n.announced.fresh(a) {
+	if !n.announced.fresh(a, n.now()) {
 		n.log.Emit(observe.AnnouncementStale, observe.Str("instance", a.Instance), observe.Int64("sequence", int64(a.Sequence)))
 		return nil
 	}
@@ -95,11 +100,14 @@
 
 // Leaving tells that an incarnation of the upstream takes no new calls and
 // will end. It may be repeated; another incarnation than the current one is
-// left alone.
-func (n *Node) Leaving(instance string) {
+// left alone. born is as in Announcement.
+func (n *Node) Leaving(instance string, born int64) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	n.announced.left(instance)
+	if !n.announced.left(instance, born) {
+		n.log.Emit(observe.AnnouncementStale, observe.Str("instance", instance), observe.Int64("born", born))
+		return
+	}
 	if up := n.upstream.Load(); up != nil && up.Instance == instance {
 		n.SetDraining(true)
 	}
@@ -115,7 +123,7 @@
 		return
 	}
 	a := up.Announcement
-	a.Instance = instance
+	a.Instance, a.Born = instance, 0
 	n.putUpstream(a)
 }
 
@@ -123,7 +131,7 @@
 func (n *Node) putUpstream(a Announcement) {
 	old := n.upstream.Load()
 	next := &upstream{Announcement: a, since: n.now()}
-	if old != nil && old.Addr == a.Addr && old.Connections == a.Connections && old.Instance == a.Instance {
+	if old != nil && old.Addr == a.Addr && old.Connections == a.Connections && old.sameIncarnation(a) {
 		next.transport = old.transport
 		next.since = old.since
 	} else {
@@ -135,58 +143,93 @@
 	}
 	n.gate.SetSlots(a.Slots)
 	n.gate.Hint(a.Load)
-	if old == nil || old.Addr != a.Addr || old.Slots != a.Slots || old.Instance != a.Instance {
+	if old != nil && !old.sameIncarnation(a) {
+		n.work.Reset()
+	}
+	if old == nil || old.Addr != a.Addr || old.Slots != a.Slots || !old.sameIncarnation(a) {
 		n.upstreamChanged(a, old == nil)
 	}
 }
 
+func (up *upstream) sameIncarnation(a Announcement) bool {
+	return up.Instance == a.Instance && up.Born == a.Born
+}
+
 // maxInstances bounds the incarnations that are remembered.
 const maxInstances = 16
 
-// announcedInstances remembers the latest announcement of each incarnation of
-// the upstream.
+// lifeSilence is how long after the last word of an incarnation one with an
+// earlier start may follow it. Upstreams announce themselves every second or
+// two, and an announcement that was held up is some seconds late.
+//
+// The failure: the clock of a VM is set back, its upstream starts again, and its
+// start seems to be before that of the one that has ended. Left out for ever, the
+// upstream would get no calls.
+const lifeSilence = 6 * time.Second
+
+// announcedInstances remembers the latest announcement of each upstream, by the
+// name that it gives itself.
 //
 // The failure: an announcement is held up by the network, its sender crashes,
 // and a new incarnation announces itself at the same address. The late one
 // then takes the new one's place, and calls are refused until the next
-// announcement. Sequences tell a late one from a new one; an incarnation that
-// has left never comes back.
+// announcement. Sequences tell a late one from a new one, and starts tell the
+// lives of an upstream that comes back under its name; an incarnation that has
+// left never comes back.
 type announcedInstances struct {
-	sequences map[string]uint64
-	// order has the incarnations in the order of their first announcement.
+	lives map[string]life
+	// order has the names in the order of their first announcement.
 	order []string
 }
 
+// life is what is known of one incarnation.
+type life struct {
+	born     int64
+	sequence uint64
+	heard    time.Time
+}
+
 // leftSequence is above every sequence.
 const leftSequence = ^uint64(0)
 
-// fresh reports whether a is newer than what its incarnation announced before,
-// and remembers it. Announcements without an incarnation are always fresh.
-func (i *announcedInstances) fresh(a Announcement) bool {
+// fresh reports whether a is newer than what was announced under its name
+// before, and remembers it. Announcements without a name are always fresh.
+func (i *announcedInstances) fresh(a Announcement, now time.Time) bool {
 	if a.Instance == "" {
 		return true
 	}
-	last, known := i.sequences[a.Instance]
-	if known && a.Sequence <= last {
+	last, known := i.lives[a.Instance]
+	if known && a.Born < last.born && now.Sub(last.heard) < lifeSilence {
+		return false
+	}
+	if known && a.Born == last.born && a.Sequence <= last.sequence {
 		return false
 	}
-	i.set(a.Instance, a.Sequence)
+	i.set(a.Instance, life{born: a.Born, sequence: a.Sequence, heard: now})
 	return true
 }
 
-// left remembers that an incarnation has left.
-func (i *announcedInstances) left(instance string) { i.set(instance, leftSequence) }
+// left remembers that an incarnation has left, and reports whether that is news
+// of the latest life under its name. A born of 0 means the latest one.
+func (i *announcedInstances) left(instance string, born int64) bool {
+	last := i.lives[instance]
+	if born != 0 && born < last.born {
+		return false
+	}
+	i.set(instance, life{born: max(born, last.born), sequence: leftSequence, heard: last.heard})
+	return true
+}
 
-func (i *announcedInstances) set(instance string, sequence uint64) {
-	if i.sequences == nil {
-		i.sequences = make(map[string]uint64)
+func (i *announcedInstances) set(instance string, l life) {
+	if i.lives == nil {
+		i.lives = make(map[string]life)
 	}
-	if _, known := i.sequences[instance]; !known {
+	if _, known := i.lives[instance]; !known {
 		i.order = append(i.order, instance)
 		if len(i.order) > maxInstances {
-			delete(i.sequences, i.order[0])
+			delete(i.lives, i.order[0])
 			i.order = i.order[1:]
 		}
 	}
-	i.sequences[instance] = sequence
+	i.lives[instance] = l
 }
--- a/routing/worktime.go
+++ b/routing/worktime.go
@@ -109,6 +109,13 @@
 	mean.micros += (float64(took.Microseconds()) - mean.micros) / float64(mean.samples)
 }
 
+// Reset forgets what was measured: another upstream has come.
+func (w *WorkMeter) Reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.profiles)
+}
+
 // News returns the work times of the busiest profiles, and whether the others
 // should be told of them. It is to be called about once a second.
 func (w *WorkMeter) News(now time.Time) (WorkTimes, bool) {
