admission, call, node: the pressure is set by what was asked for, not by what arrived some time ago

Hypothesis: the pressure of an overloaded deep upstream swings between none and nearly all, because its arrivals are set against the pressure of 0.4 s before, while requests make their calls over a second and more. Change: a request that is let in carries the share of its like that was held back; its calls stand for those as well at the gate, so the demand follows without any delay. Test: TestPressureHoldsStillWhereCallsTakeTheirTime.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -22,6 +22,9 @@
 	// Progress counts the calls that have already run for the request. The more
 	// there are, the more work a refusal would waste.
 	Progress int
+	// HeldBack is the share of the requests like the call's that were refused where
+	// they began when this one was let in, 0 to below 1.
+	HeldBack float64
 	// MaxWait is how long the call may be queued. Zero means as long as
 	// Config.MaxQueueWait, negative not at all.
 	MaxWait time.Duration
@@ -124,7 +127,7 @@
 		return call.ReasonDraining
 	}
 	shard.arrivals[r.Level].Add(1)
-	p.arrived.Add(1)
+	p.demand.Add(demandOf(r.HeldBack))
 	if uint32(r.Level) < g.admitLevel(r) {
 		return call.ReasonLevel
 	}
--- a/admission/pressed_test.go
+++ b/admission/pressed_test.go
@@ -11,31 +11,63 @@
 )
 
 // chain is a deep upstream below many roots, in steps of one window. Each
-// request makes calls calls there after life windows, when it has passed the
-// upstreams above, and fails with the first one that is refused.
+// request makes calls calls there, spread over the windows from life on, when it
+// has passed the upstreams above.
 type chain struct {
 	capacity float64 // calls that a window serves
 	calls    int
 	life     int // windows
+	spread   int // windows
 	p        pressure
-	pending  []float64 // calls due in the coming windows
+	// pending are the calls due in the coming windows, and demand what they
+	// stand for.
+	pending, demand []float64
 }
 
-// step lets offered requests arrive, of which the pressure of delay windows ago
-// holds some back, and returns the calls refused.
+// step lets offered requests arrive, of which the pressure holds some back, and
+// returns the calls refused.
 func (ch *chain) step(offered float64) (begun, refused float64) {
+	spread := max(ch.spread, 1)
 	if ch.pending == nil {
-		ch.pending = make([]float64, ch.life)
+		ch.pending = make([]float64, ch.life+spread-1)
+		ch.demand = make([]float64, ch.life+spread-1)
 	}
-	begun = offered * (1 - ch.p.value)
-	ch.pending[ch.life-1] += begun * float64(ch.calls)
-	due := ch.pending[0]
+	heldBack := ch.p.value
+	begun = offered * (1 - heldBack)
+	for i := range spread {
+		calls := begun * float64(ch.calls) / float64(spread)
+		ch.pending[ch.life-1+i] += calls
+		ch.demand[ch.life-1+i] += calls * float64(demandOf(heldBack)) / thousand
+	}
+	due, demand := ch.pending[0], ch.demand[0]
 	ch.pending = append(ch.pending[1:], 0)
+	ch.demand = append(ch.demand[1:], 0)
 	refused = max(due-ch.capacity, 0)
-	ch.p.update(pressureLoad{offered: due / ch.capacity, refused: int(refused)})
+	ch.p.update(pressureLoad{offered: demand / ch.capacity, refused: int(refused)})
 	return begun, refused
 }
 
+// One upstream of three is left, and 2.7 times what it carries is asked for. A
+// request makes its calls over a second and a half. The pressure went from none to
+// nearly all and back, so that the upstream was now idle and now refused the calls
+// of requests that had most of their work done. It has to hold still.
+func TestPressureHoldsStillWhereCallsTakeTheirTime(t *testing.T) {
+	c := qt.New(t)
+	ch := &chain{capacity: 29, calls: 8, life: 3, spread: 12}
+	served, lowest, highest := 0.0, 1.0, 0.0
+	const windows = 200
+	for i := range 2 * windows {
+		begun, refused := ch.step(2.7 * 29 / 8)
+		if i < windows {
+			continue
+		}
+		served += begun*8 - refused
+		lowest, highest = min(lowest, ch.p.value), max(highest, ch.p.value)
+	}
+	c.Check(highest-lowest < 0.1, qt.IsTrue, qt.Commentf("from %.2f to %.2f", lowest, highest))
+	c.Check(served > 0.9*29*windows, qt.IsTrue, qt.Commentf("%.2f of the capacity used", served/29/windows))
+}
+
 // A burst of 1.7 times what a deep upstream carries comes for eight seconds,
 // with eight calls a request. Without pressure four calls in ten are refused
 // and nearly no request ends well. With it the refusals end within a second,
@@ -90,7 +122,7 @@
 		s.Heard("pay", 0, now)
 		for profile, priority := range map[string]call.Priority{"browse": 13, "file": 15, "pay": 15} {
 			level := call.MakeLevel(priority, call.Tiebreak(rnd.IntN(int(call.MaxTiebreak)+1)))
-			if ok, _ := s.Admit(profile, level, now); !ok {
+			if !s.Admit(profile, level, now).Admitted {
 				refused[profile]++
 			}
 		}
--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -10,13 +10,10 @@
 	// pressureAim is the offered load, as a share of the limit, that is aimed
 	// at. What is above it only queues.
 	pressureAim = 0.95
-	// pressureDelay is how many windows a change takes to show: answers bring
-	// it up to the roots, and a request makes its last calls some 0.3 s later.
-	pressureDelay = 4
 	// pressureRise and pressureFall are the part of the way to the wanted value
-	// that one window goes. A request lives for about three windows, so faster
-	// ones swing; the fall is slower, since a crowd that waits to come back
-	// takes all that is given back at once.
+	// that one window goes, which evens out the arrivals of a window. The fall is
+	// slower, since a crowd that waits to come back takes all that is given back
+	// at once.
 	pressureRise = 0.35
 	pressureFall = 0.15
 	// pressureWait is the mean queue wait from which the offered load, which is
@@ -30,8 +27,8 @@
 
 // pressureLoad is what one window measured.
 type pressureLoad struct {
-	// offered is the work that arrived, refused calls included, as a share of
-	// what the limit can serve.
+	// offered is the work that would have arrived had no request been held back,
+	// refused calls included, as a share of what the limit can serve.
 	offered float64
 	// refused counts calls that found no room.
 	refused  int
@@ -46,27 +43,21 @@
 // most of its work: with eight calls of which one in ten is refused, 57 % of
 // the requests fail. Fewer requests must begin, and then all of their calls run.
 //
-// What arrives is what the roots let begin, the share 1 - value of what they
-// were asked for. From it follows what would arrive without pressure, and from
-// that the share that fits.
+// What is asked for is told by what arrives: a call whose request was let in
+// while a share of its like was held back stands for those as well. So it does
+// not depend on when a change of the pressure shows.
 //
-// A change shows in the arrivals only once the requests that had begun before
-// are through, so they are set against the value of that time. Set against the
-// present one, each window of a surge would add as much again, and nearly all
-// requests would be refused before the first effect was seen.
-type pressure struct {
-	value float64
-	// earlier are the values of the last windows, the latest first.
-	earlier [pressureDelay]float64
-}
+// The failure: what arrived was set against the pressure of 0.4 s before. Requests
+// make their calls over a second and more, so the two did not belong together; the
+// pressure of the one upstream that was left of three went from 0 to 0.97 and back
+// every two seconds, and three quarters of its time were not used.
+type pressure struct{ value float64 }
 
 func (p *pressure) update(w pressureLoad) {
 	wanted := 0.0
 	if w.offered > 0 {
-		wanted = 1 - (1-p.earlier[pressureDelay-1])*pressureAim/w.offered
+		wanted = 1 - pressureAim/w.offered
 	}
-	copy(p.earlier[1:], p.earlier[:])
-	p.earlier[0] = p.value
 	switch {
 	case wanted > p.value:
 		p.value += pressureRise * (wanted - p.value)
--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -93,19 +93,28 @@
 // noPressure is what counts as none.
 const noPressure = 0.005
 
-// Admit reports whether a request may begin, and the level that decided.
-func (s *Shedder) Admit(profile string, level call.Level, now time.Time) (bool, call.Level) {
+// Admission is a Shedder's decision.
+type Admission struct {
+	Admitted bool
+	// InForce is the lowest level that is let in.
+	InForce call.Level
+	// HeldBack is the share of the requests like this one that are refused.
+	HeldBack float64
+}
+
+// Admit decides whether a request may begin.
+func (s *Shedder) Admit(profile string, level call.Level, now time.Time) Admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tick(now)
 	value := s.pressure(profile, now)
 	if value < noPressure {
-		return true, 0
+		return Admission{Admitted: true}
 	}
 	s.arrivals[min(level, call.MaxLevel)]++
 	s.total++
 	threshold := s.threshold(value)
-	return level >= threshold, threshold
+	return Admission{Admitted: level >= threshold, InForce: threshold, HeldBack: value}
 }
 
 // tick lets old arrivals fade.
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -65,8 +65,9 @@
 	// counted the arrivals up to the last look. The gate's lock guards both.
 	mean    float64
 	counted uint64
-	// arrived counts all arrivals, refused ones included.
-	arrived atomic.Uint64
+	// demand counts what arrivals stand for, refused ones included, in
+	// thousandths of a call.
+	demand atomic.Uint64
 	// service is a low estimate of the whole service time, in nanoseconds.
 	service atomic.Int64
 }
@@ -133,13 +134,19 @@
 	p.mean += meanWeight * (window - p.mean)
 }
 
-// offered is the service time, in seconds, that has arrived since the last
-// look. The gate's lock is held.
+// demandOf is what an arrival stands for, in thousandths of a call: itself, and
+// its part of the calls whose requests were held back at their roots.
+func demandOf(heldBack float64) uint64 {
+	return uint64(thousand / (1 - min(max(heldBack, 0), pressureMost)))
+}
+
+// offered is the service time, in seconds, that was asked for since the last
+// look, requests that were held back included. The gate's lock is held.
 func (p *profileStats) offered() float64 {
-	arrived := p.arrived.Load()
-	fresh := arrived - p.counted
-	p.counted = arrived
-	return float64(fresh) * p.mean / float64(time.Second)
+	demand := p.demand.Load()
+	fresh := demand - p.counted
+	p.counted = demand
+	return float64(fresh) / thousand * p.mean / float64(time.Second)
 }
 
 func (p *profileStats) decayService() {
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -11,7 +11,7 @@
 )
 
 func example() Context {
-	return Context{RequestID: "r1", Profile: "filing", Level: MakeLevel(12, 127), Timeout: 250 * time.Millisecond, Credit: 2, Depth: 3, Progress: 4}
+	return Context{RequestID: "r1", Profile: "filing", Level: MakeLevel(12, 127), Timeout: 250 * time.Millisecond, Credit: 2, Depth: 3, Progress: 4, HeldBack: 970}
 }
 
 // What one node writes the next must read as it was: a level or a credit that
@@ -45,6 +45,7 @@
 		HeaderDepth:   {"", "65"},
 		// Work claimed without any done would jump the queue.
 		HeaderProgress: {"", "65", "-1", "+1"},
+		HeaderHeldBack: {"", "1001", "-1", "0.5"},
 	} {
 		for _, value := range values {
 			h := http.Header{}
--- a/call/context.go
+++ b/call/context.go
@@ -25,6 +25,9 @@
 	// HeaderProgress counts the calls of the request that have already run. It
 	// is absent while that is none.
 	HeaderProgress = "Pollengauge-Progress"
+	// HeaderHeldBack is the share of the requests that the root refused when it let
+	// this one begin, in thousandths. It is absent at 0.
+	HeaderHeldBack = "Pollengauge-Held-Back"
 	// HeaderVisit names, between an upstream and its own node, the call that
 	// the upstream is serving.
 	HeaderVisit = "Pollengauge-Visit"
@@ -70,7 +73,7 @@
 // NodeHeaders are the headers that only nodes may set: what they tell each
 // other, and their upstreams in the project's own interface.
 var NodeHeaders = []string{
-	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress,
+	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
 	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderStale,
 }
@@ -126,6 +129,10 @@
 	// made, as far as its way down knows: those of the visits that it comes
 	// from. It never falls on the way down and stops at MaxProgress.
 	Progress int
+	// HeldBack is the share of the requests like this one that the root refused for
+	// an overload below when it let this one begin, in thousandths: of so many more
+	// requests would there have been calls.
+	HeldBack int
 	// Host is the Host that the caller named, "" where it is the service.
 	Host string
 	// Origin is the service on the VM where the request entered the system,
@@ -143,11 +150,17 @@
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	setOptional(h, HeaderHost, c.Host)
 	setOptional(h, HeaderOrigin, c.Origin)
-	if c.Progress == 0 {
-		h.Del(HeaderProgress)
+	setOptionalNumber(h, HeaderProgress, c.Progress)
+	setOptionalNumber(h, HeaderHeldBack, min(c.HeldBack, maxPressure))
+}
+
+// setOptionalNumber sets a header that is absent at 0.
+func setOptionalNumber(h http.Header, name string, value int) {
+	if value == 0 {
+		h.Del(name)
 		return
 	}
-	h.Set(HeaderProgress, strconv.Itoa(c.Progress))
+	h.Set(name, strconv.Itoa(value))
 }
 
 // setOptional sets a header that is absent when its value is empty.
@@ -187,6 +200,9 @@
 	if c.Progress, err = optionalNumber(h, HeaderProgress, MaxProgress); err != nil {
 		return Context{}, err
 	}
+	if c.HeldBack, err = optionalNumber(h, HeaderHeldBack, maxPressure); err != nil {
+		return Context{}, err
+	}
 	if c.Host, err = optionalToken(h, HeaderHost, maxHostLength); err != nil {
 		return Context{}, err
 	}
--- a/node/local.go
+++ b/node/local.go
@@ -95,6 +95,7 @@
 		Level:     req.call.Level,
 		Profile:   req.call.Profile,
 		Inherited: req.call.Depth > 0,
+		HeldBack:  float64(req.call.HeldBack) / pressureUnit,
 		Progress:  req.call.Progress,
 		MaxWait:   time.Duration(req.profile.MaxWait),
 		Deadline:  req.deadline,
--- a/node/pressed.go
+++ b/node/pressed.go
@@ -29,12 +29,13 @@
 	if n.busy(admission.NewRequest) {
 		return n.refuse(call.NotRun, call.ReasonBusy, 0)
 	}
-	ok, inForce := n.shedder.Admit(req.call.Profile, req.call.Level, n.now())
-	if ok {
+	decision := n.shedder.Admit(req.call.Profile, req.call.Level, n.now())
+	if decision.Admitted {
+		req.call.HeldBack = int(decision.HeldBack * pressureUnit)
 		return nil
 	}
 	a := n.refuse(call.NotRun, call.ReasonLevelBelow, 0)
-	a.report.Worst = inForce
+	a.report.Worst = decision.InForce
 	return a
 }
 
--- a/node/routed.go
+++ b/node/routed.go
@@ -62,6 +62,7 @@
 	req.call.Depth = min(parent.call.Depth+1, call.MaxDepth)
 	req.call.Progress = max(parent.progress(), 1)
 	req.call.Level = parent.call.Level
+	req.call.HeldBack = parent.call.HeldBack
 	if parent.deadline.Before(req.deadline) {
 		req.deadline = parent.deadline
 	}
