admission: what bursts take from the aim is bounded

Cause: each window in which a call found no room, or waited 20 ms, added 0.02 to the pressure, without an end. Change: while the pressure stands at what is wanted and calls find no room, the aim is lowered, by a quarter at most; it comes back in ten seconds.

--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -16,10 +16,28 @@
 	// at once.
 	pressureRise = 0.35
 	pressureFall = 0.15
-	// pressureWait is the mean queue wait from which the offered load, which is
-	// an estimate, counts as too low, and pressureStep what such a window adds.
-	pressureWait = 20 * time.Millisecond
-	pressureStep = 0.02
+	// trimRefused is the share of the calls that may find no room, and trimWeight
+	// the weight of a window in it. With eight calls a request, one in a hundred
+	// fails 8 % of the requests.
+	trimRefused = 0.01
+	trimWeight  = 0.2
+	// trimStep is what a window with more takes from the aim, and trimBack what one
+	// with less gives back: a fault of the estimate is made up for in a second, and
+	// probed for in ten.
+	trimStep = 0.02
+	trimBack = 0.004
+	// trimAfter is how many windows the pressure must have been about what is
+	// wanted, less trimNear: requests that began before make their calls for about
+	// a second, and those calls find no room whatever the aim is now.
+	trimAfter = 10
+	trimNear  = 0.03
+	// trimLeast bounds what is taken, since short bursts find no room at any load.
+	//
+	// The failure: each window with a refusal added to the pressure, without an end.
+	// An upstream of 17 slots that was asked for three times what it carries refuses
+	// some calls in most windows, and its pressure stood at 0.97, where 0.71 was
+	// wanted.
+	trimLeast = 0.75
 	// pressureMost leaves some requests through, or nobody would learn that the
 	// overload has passed.
 	pressureMost = 0.97
@@ -30,9 +48,10 @@
 	// offered is the work that would have arrived had no request been held back,
 	// refused calls included, as a share of what the limit can serve.
 	offered float64
-	// refused counts calls that found no room.
-	refused  int
-	meanWait time.Duration
+	// arrived counts calls, and refused those of them that found no room.
+	arrived, refused int
+	// meanWait is that of the calls that waited, meanService that of all.
+	meanWait, meanService time.Duration
 }
 
 // pressure is the share of the requests that lead to an upstream which should
@@ -46,25 +65,45 @@
 // What is asked for is told by what arrives: a call whose request was let in
 // while a share of its like was held back stands for those as well. So it does
 // not depend on when a change of the pressure shows.
-//
-// The failure: what arrived was set against the pressure of 0.4 s before. Requests
-// make their calls over a second and more, so the two did not belong together; the
-// pressure of the one upstream that was left of three went from 0 to 0.97 and back
-// every two seconds, and three quarters of its time were not used.
-type pressure struct{ value float64 }
+type pressure struct {
+	value float64
+	// taken is what is taken from the aim, as a share of it, and refused the
+	// smoothed share of calls that found no room.
+	taken, refused float64
+	// settled counts the windows in which value was about what is wanted.
+	settled int
+}
 
 func (p *pressure) update(w pressureLoad) {
+	p.trim(w)
 	wanted := 0.0
 	if w.offered > 0 {
-		wanted = 1 - pressureAim/w.offered
+		wanted = 1 - pressureAim*(1-p.taken)/w.offered
 	}
-	switch {
-	case wanted > p.value:
-		p.value += pressureRise * (wanted - p.value)
-	case w.refused > 0 || w.meanWait > pressureWait:
-		p.value += pressureStep
-	default:
-		p.value += pressureFall * (max(wanted, 0) - p.value)
+	p.settled++
+	if wanted > p.value+trimNear {
+		p.settled = 0
 	}
+	step := pressureFall
+	if wanted > p.value {
+		step = pressureRise
+	}
+	p.value += step * (wanted - p.value)
 	p.value = min(max(p.value, 0), pressureMost)
 }
+
+// trim lowers the aim while calls find no room, or wait for as long as they are
+// served: the offered load is an estimate, and calls come in bursts.
+func (p *pressure) trim(w pressureLoad) {
+	if w.arrived > 0 {
+		p.refused += trimWeight * (float64(w.refused)/float64(w.arrived) - p.refused)
+	}
+	if p.settled < trimAfter {
+		return
+	}
+	if p.refused > trimRefused || (w.meanWait > w.meanService && w.meanService > 0) {
+		p.taken = min(p.taken+trimStep, 1-trimLeast)
+		return
+	}
+	p.taken = max(p.taken-trimBack, 0)
+}
--- a/admission/window.go
+++ b/admission/window.go
@@ -37,6 +37,8 @@
 	// The rest is of the window under way.
 	waitSum            time.Duration
 	waitCount, refused int
+	// admitted is the count of admitted calls at its begin.
+	admitted uint64
 }
 
 const thousand = 1000
@@ -95,7 +97,16 @@
 		return
 	}
 	p.since = now
-	load := pressureLoad{refused: p.refused}
+	admitted := uint64(0)
+	for i := range g.shards {
+		admitted += g.shards[i].admitted.Load()
+	}
+	load := pressureLoad{
+		refused:     p.refused,
+		arrived:     int(admitted-p.admitted) + p.refused,
+		meanService: time.Duration(w.meanService),
+	}
+	p.admitted = admitted
 	for _, profile := range *g.profiles.Load() {
 		load.offered += profile.offered()
 	}
