node: entries of other writers keep no node from finding the others

Cause: an object of the bootstrap kind that holds no address was taken for the place of a member that may live, and a node that knows nobody leaves such places alone. With all eight places so, two nodes that start stay alone for good. Change: what holds no address is left out, told in one log line (3012), and may be written over at once. Test: TestForeignEntriesKeepNobodyAlone, fails before.

--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
@@ -35,13 +39,35 @@
 		n.log.Emit(observe.BootstrapFailed, observe.Err(err))
 		return nil, err
 	}
+	var unreadable int
 	for _, o := range found {
+		if !isAddress(string(o.Value)) {
+			unreadable++
+			continue
+		}
 		addrs = append(addrs, string(o.Value))
 	}
+	if unreadable > 0 {
+		n.log.Emit(observe.BootstrapForeign, observe.Int("objects", unreadable))
+	}
 	n.offerBootstrap(ctx, found)
 	return addrs, nil
 }
 
+// isAddress tells whether an object names a place to join. Another writer may
+// have left anything there.
+func isAddress(value string) bool {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || !call.ValidToken(host, maxHostLength) || strings.ContainsAny(host, `"{}[],/`) {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
+// maxHostLength is the longest name of a host (RFC 1035), in bytes.
+const maxHostLength = 253
+
 // offerBootstrap puts this node's address among the bootstrap objects: into a
 // free place, or over one whose node is known to be gone. Which node holds a
 // place is of no importance, so a lost race is left lost.
@@ -61,7 +87,10 @@
 			_, _ = n.store.Create(ctx, bootstrapKind, name, []byte(own))
 			return
 		}
-		if !n.gossipAddrAlive(string(o.Value)) && n.gossip.Stats().Alive > 1 {
+		// A place that holds no address is free: eight of them would keep two nodes
+		// that start from ever finding each other.
+		free := !isAddress(string(o.Value))
+		if free || (!n.gossipAddrAlive(string(o.Value)) && n.gossip.Stats().Alive > 1) {
 			o.Value = []byte(own)
 			_, _ = n.store.Update(ctx, o)
 			return
--- /dev/null
+++ b/node/bootstrap_test.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Another writer has left objects of the kind by which nodes find each other, and
+// none holds an address. Two nodes start that know of no peer. Taken for the
+// places of members that may live, the objects kept both from leaving their own
+// address, and each stayed alone for good.
+func TestForeignEntriesKeepNobodyAlone(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		foreign := []string{`{"address":7}`, "", "null", "[1,2]", "10.0.0.1", "a:b:c", "host:port", "\xff\x00:1"}
+		for place, value := range foreign {
+			_, err := f.store.Create(f.t.Context(), bootstrapKind, "place-"+strconv.Itoa(place), []byte(value))
+			f.c.Assert(err, qt.IsNil)
+		}
+		alone := func(s *Settings) { s.Peers = nil }
+		a := f.addRouted("a", "desk", 4, echo, alone)
+		b := f.addRouted("b", "desk", 4, echo, alone)
+		time.Sleep(30 * time.Second)
+		f.c.Check(a.Targets("desk"), qt.Equals, 2)
+		f.c.Check(b.Targets("desk"), qt.Equals, 2)
+	})
+}
--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -11,9 +11,9 @@
 
 // Bounds of one connection.
 const (
-	// MaxAhead is how many requests are begun before their turn. Browsers that
-	// pipelined sent up to eight; each one holds a goroutine and a connection
-	// to another node.
+	// MaxAhead is how many requests are begun before their turn. Each one holds
+	// a goroutine and a connection to another node; answers come one by one, so
+	// of more than a few the last are late anyhow.
 	MaxAhead = 16
 	// maxUnread is how many received bytes wait for net/http before no more are
 	// read, in bytes.
--- a/observe/events.go
+++ b/observe/events.go
@@ -33,16 +33,17 @@
 
 // Membership.
 var (
-	MemberJoined    = event(3001, "member-joined", Info, "A node was heard of for the first time.", noAction)
-	MemberSuspect   = event(3002, "member-suspect", Warn, "A node has not been heard of for longer than expected.", "None, unless it repeats for one node.")
-	MemberDead      = event(3003, "member-dead", Warn, "A suspected node did not refute in time and gets no more calls.", "See whether the VM was replaced.")
-	MemberLeft      = event(3004, "member-left", Info, "A node said that it leaves.", noAction)
-	SelfRefuted     = event(3005, "self-refuted", Warn, "Others took this node for dead and it has refuted.", "Look for pauses of this VM or loss on its network.")
-	RegionCut       = event(3006, "region-cut", Warn, "No member of a region or zone is heard of any more.", "Check the network between the zones.")
-	RegionHealed    = event(3007, "region-healed", Info, "Members of a region or zone that was cut off are heard of again.", noAction)
-	MemberAlive     = event(3008, "member-alive", Info, "A suspected or dead node is heard of again.", noAction)
-	BootstrapFailed = event(3009, "bootstrap-failed", Warn, "Neither the platform nor a named peer gave a member to join.", "Name a peer in the settings or check the platform.")
-	MembersFull     = event(3010, "members-full", Error, "The member table is full; new members are not taken in.", "Raise the bound, or find out who announces so many nodes.")
+	MemberJoined     = event(3001, "member-joined", Info, "A node was heard of for the first time.", noAction)
+	MemberSuspect    = event(3002, "member-suspect", Warn, "A node has not been heard of for longer than expected.", "None, unless it repeats for one node.")
+	MemberDead       = event(3003, "member-dead", Warn, "A suspected node did not refute in time and gets no more calls.", "See whether the VM was replaced.")
+	MemberLeft       = event(3004, "member-left", Info, "A node said that it leaves.", noAction)
+	SelfRefuted      = event(3005, "self-refuted", Warn, "Others took this node for dead and it has refuted.", "Look for pauses of this VM or loss on its network.")
+	RegionCut        = event(3006, "region-cut", Warn, "No member of a region or zone is heard of any more.", "Check the network between the zones.")
+	RegionHealed     = event(3007, "region-healed", Info, "Members of a region or zone that was cut off are heard of again.", noAction)
+	MemberAlive      = event(3008, "member-alive", Info, "A suspected or dead node is heard of again.", noAction)
+	BootstrapForeign = event(3012, "bootstrap-foreign", Warn, "An object that names a member to join holds no address; it was left out, and may be written over.", "Look at what else writes objects of this kind.")
+	BootstrapFailed  = event(3009, "bootstrap-failed", Warn, "Neither the platform nor a named peer gave a member to join.", "Name a peer in the settings or check the platform.")
+	MembersFull      = event(3010, "members-full", Error, "The member table is full; new members are not taken in.", "Raise the bound, or find out who announces so many nodes.")
 )
 
 // Admission and outcomes.
