node/pipelining: an answer that no handler took is let go of

Change: Done drops what the handler did not take. Test: TestRefusedTurnsLetGoOfTheirRun, fails without it.

--- a/node/ahead.go
+++ b/node/ahead.go
@@ -52,13 +52,13 @@
 	return conn
 }
 
-// turnOf returns the run of a request that was begun before its turn, else nil.
+// turnOf takes the run of a request that was begun before its turn, nil for others.
 func turnOf(r *http.Request) *begunRun {
 	conn := connOf(r)
 	if conn == nil {
 		return nil
 	}
-	run, _ := conn.Current().(*begunRun)
+	run, _ := conn.Take().(*begunRun)
 	return run
 }
 
--- a/node/ahead_test.go
+++ b/node/ahead_test.go
@@ -6,12 +6,15 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/config"
 )
 
 // workTime is how long the upstreams of these tests work on a request.
@@ -162,3 +165,31 @@
 		f.expectInOrder(bufio.NewReader(conn), 1)
 	})
 }
+
+// A search is begun behind another one, and before its turn the operators lower the
+// limit on heads: the node refuses it. Its run has to be let go of; counted as under
+// way for ever, it kept the node from ending before its grace period was over.
+func TestRefusedTurnsLetGoOfTheirRun(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			time.Sleep(workTime)
+			echo(w, r, call)
+		})
+		f.settle()
+		conn := f.sendBehind(n, "/browse/a")
+		defer conn.Close()
+		_, err := io.WriteString(conn, "GET /browse/b HTTP/1.1\r\nHost: desk.example\r\nX-Id: r1\r\nX-Long: "+strings.Repeat("x", 2*config.MinHeaderBytes)+"\r\n\r\n")
+		f.c.Assert(err, qt.IsNil)
+		time.Sleep(workTime / 2)
+		f.c.Check(n.begun.Load(), qt.Equals, int64(1))
+		f.offerLimits(n, 2, config.Limits{RetryRatio: config.DefaultRetryRatio, HeaderBytes: config.MinHeaderBytes})
+		answers := bufio.NewReader(conn)
+		f.expectInOrder(answers, 1)
+		resp, err := http.ReadResponse(answers, nil)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		time.Sleep(time.Second)
+		f.c.Check(n.begun.Load(), qt.Equals, int64(0))
+		f.c.Check(n.active.Load(), qt.Equals, int64(0))
+	})
+}
--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -112,12 +112,14 @@
 	c.lookAhead()
 }
 
-// Current returns the answer of the request being served if that was begun
-// before its turn, else nil.
-func (c *Conn) Current() Answer {
+// Take returns the answer of the request being served if that was begun before
+// its turn, else nil. Whoever takes it has to let go of it.
+func (c *Conn) Take() Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.current
+	taken := c.current
+	c.current = nil
+	return taken
 }
 
 func sameRequest(a, b *http.Request) bool {
@@ -132,12 +134,17 @@
 	return true
 }
 
-// Done tells that the handler has returned.
+// Done tells that the handler has returned. An answer that it did not take is
+// dropped: a handler may refuse a request that was begun, as when a limit came
+// down meanwhile, and its run would count as under way for ever.
 func (c *Conn) Done() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
-	c.current = nil
+	if c.current != nil {
+		c.current.Drop()
+		c.current = nil
+	}
 	c.changed.Broadcast()
 }
 
--- a/node/pipelining/fuzz_test.go
+++ b/node/pipelining/fuzz_test.go
@@ -50,7 +50,7 @@
 			conn := r.Context().Value(connKey{}).(*Conn)
 			conn.Serve(r)
 			defer conn.Done()
-			if early, ok := conn.Current().(*ready); ok {
+			if early, ok := conn.Take().(*ready); ok {
 				note = early.told
 			}
 		}
