retry, node: the retries of a service are one share over the whole graph, and go where few are needed

A refused share of a half was taken for overload and nothing was repeated; a node spent a quarter of the ratio, since repeated runs repeat their calls "three deep"; what was repeated went to whoever asked first, mostly first calls of four.

Change: a call that may have reached an upstream before is marked as a repeat, and so are the calls of its run; they are paid for like retries (retry/bucket.go), so no constant for the depth is left. Refusals in spite of free slots may be repeated whatever share refuses. Retries that are scarce go to the runs with the fewest calls left (retry/ration.go, needs learnt from the call graph). A call refused by three queues is not paid for a fourth.

--- a/admission/callgraph.go
+++ b/admission/callgraph.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 	graphDecay = 0.984
 	// leastCalls is how many calls a run must make on average to be linked.
 	leastCalls = 0.2
+	// neededWeight is the weight of one run in what its kind needs.
+	neededWeight = 0.1
 	// maxKinds bounds the kinds of runs and of calls that are told apart.
 	maxKinds = 32
 )
@@ -40,6 +43,8 @@
 	// started and made are decayed counts of runs and of their calls by kind.
 	started float64
 	made    map[string]float64
+	// needed is how many calls of each kind a run makes that ends well, averaged.
+	needed map[string]float64
 	// linked are the kinds of calls that it makes, as of the last window. The
 	// list is replaced, never changed.
 	linked []string
@@ -72,6 +77,39 @@
 	}
 }
 
+// Completed notes a run that ended well and the calls that were made for it, by
+// kind. Runs that fail say nothing of what is needed: most end at their first
+// failed call.
+func (g *CallGraph) Completed(run string, calls map[string]int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(now)
+	r := g.run(run)
+	if r == nil {
+		return
+	}
+	for call, times := range calls {
+		usual, known := r.needed[call]
+		switch {
+		case known:
+			r.needed[call] = usual + neededWeight*(float64(times)-usual)
+		case len(r.needed) < maxKinds:
+			r.needed[call] = float64(times)
+		}
+	}
+}
+
+// Needs returns how many calls of a kind a run needs to end well, 0 where no such
+// run is known.
+func (g *CallGraph) Needs(run, call string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.runs[run]; r != nil {
+		return int(math.Round(r.needed[call]))
+	}
+	return 0
+}
+
 // Linked returns the kinds of calls that runs of a kind make.
 func (g *CallGraph) Linked(run string) []string {
 	g.mu.Lock()
@@ -86,7 +124,7 @@
 func (g *CallGraph) run(kind string) *runKind {
 	r := g.runs[kind]
 	if r == nil && len(g.runs) < maxKinds {
-		r = &runKind{made: make(map[string]float64)}
+		r = &runKind{made: make(map[string]float64), needed: make(map[string]float64)}
 		g.runs[kind] = r
 	}
 	return r
--- /dev/null
+++ b/admission/callgraph_test.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// What a run needs is learnt from those that end well. Runs that fail end at their
+// first failed call: counted in, a run of four calls would seem to need one or two
+// just when the calls fail, and its first call would look like its last.
+func TestNeedsComeFromRunsThatEndWell(t *testing.T) {
+	c := qt.New(t)
+	g := NewCallGraph()
+	now := time.Unix(0, 0)
+	c.Check(g.Needs("lookup", "index"), qt.Equals, 0)
+	for range 20 {
+		g.Begin("lookup", now)
+		for range 4 {
+			g.CalledBy("lookup", "index", now)
+		}
+		g.Completed("lookup", map[string]int{"index": 4, "fees": 1}, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 500 { // all fail at their first call
+		g.Begin("lookup", now)
+		g.CalledBy("lookup", "index", now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	c.Check(g.Needs("lookup", "index"), qt.Equals, 4)
+	c.Check(g.Needs("lookup", "fees"), qt.Equals, 1)
+	c.Check(g.Needs("lookup", "other"), qt.Equals, 0)
+	for range 50 { // the service was changed and makes two
+		g.Completed("lookup", map[string]int{"index": 2}, now)
+	}
+	c.Check(g.Needs("lookup", "index"), qt.Equals, 2)
+}
+
+// An upstream that names many kinds of calls must not make the graph grow.
+func TestNeedsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	g := NewCallGraph()
+	calls := make(map[string]int)
+	for i := range 10 * maxKinds {
+		calls[string(rune('a'+i))] = 1
+	}
+	g.Completed("run", calls, time.Unix(0, 0))
+	c.Check(len(g.run("run").needed) <= maxKinds, qt.IsTrue)
+}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -217,6 +217,17 @@
 	return time.Duration(float64(step) * min(1+below, maxRetrySteps))
 }
 
+// roomShare of the slots in use leaves room: upstreams become slower when nearly
+// full, and some refuse a little before.
+const roomShare = 0.75
+
+// HasRoom tells whether the upstream has free slots, by the calls that this gate
+// let through. The call that asks may be among them.
+func (g *Gate) HasRoom() bool {
+	_, inflight := g.counts()
+	return float64(inflight) <= roomShare*float64(g.slots.Load())
+}
+
 // profile finds the record of a profile, and makes it when new.
 func (g *Gate) profile(name string) *profileStats {
 	if p, ok := (*g.profiles.Load())[name]; ok {
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -11,7 +11,7 @@
 )
 
 func example() Context {
-	return Context{RequestID: "r1", Profile: "filing", Level: MakeLevel(12, 127), Timeout: 250 * time.Millisecond, Credit: 2, Depth: 3, Progress: 4, HeldBack: 970}
+	return Context{RequestID: "r1", Profile: "filing", Level: MakeLevel(12, 127), Timeout: 250 * time.Millisecond, Credit: 2, Depth: 3, Progress: 4, HeldBack: 970, Repeat: true}
 }
 
 // What one node writes the next must read as it was: a level or a credit that
@@ -46,6 +46,7 @@
 		// Work claimed without any done would jump the queue.
 		HeaderProgress: {"", "65", "-1", "+1"},
 		HeaderHeldBack: {"", "1001", "-1", "0.5"},
+		HeaderRepeat:   {"", "2", "-1", "true"},
 	} {
 		for _, value := range values {
 			h := http.Header{}
--- a/call/context.go
+++ b/call/context.go
@@ -28,6 +28,9 @@
 	// HeaderHeldBack is the share of the requests that the root refused when it let
 	// this one begin, in thousandths. It is absent at 0.
 	HeaderHeldBack = "Pollengauge-Held-Back"
+	// HeaderRepeat marks a call whose work some upstream may have had before. It is
+	// absent on others.
+	HeaderRepeat = "Pollengauge-Repeat"
 	// HeaderVisit names, between an upstream and its own node, the call that
 	// the upstream is serving.
 	HeaderVisit = "Pollengauge-Visit"
@@ -73,7 +76,7 @@
 // NodeHeaders are the headers that only nodes may set: what they tell each
 // other, and their upstreams in the project's own interface.
 var NodeHeaders = []string{
-	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack,
+	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
 	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderStale,
 }
@@ -133,6 +136,10 @@
 	// an overload below when it let this one begin, in thousandths: of so many more
 	// requests would there have been calls.
 	HeldBack int
+	// Repeat tells that an upstream may have had this call before, or that the
+	// call is made by a run of which that is so. The load is then a retry's, at
+	// whatever depth.
+	Repeat bool
 	// Host is the Host that the caller named, "" where it is the service.
 	Host string
 	// Origin is the service on the VM where the request entered the system,
@@ -152,6 +159,15 @@
 	setOptional(h, HeaderOrigin, c.Origin)
 	setOptionalNumber(h, HeaderProgress, c.Progress)
 	setOptionalNumber(h, HeaderHeldBack, min(c.HeldBack, maxPressure))
+	setOptionalNumber(h, HeaderRepeat, flag(c.Repeat))
+}
+
+// flag is a truth as a number.
+func flag(set bool) int {
+	if set {
+		return 1
+	}
+	return 0
 }
 
 // setOptionalNumber sets a header that is absent at 0.
@@ -203,6 +219,10 @@
 	if c.HeldBack, err = optionalNumber(h, HeaderHeldBack, maxPressure); err != nil {
 		return Context{}, err
 	}
+	repeat, err := optionalNumber(h, HeaderRepeat, 1)
+	if err != nil {
+		return Context{}, err
+	}
 	if c.Host, err = optionalToken(h, HeaderHost, maxHostLength); err != nil {
 		return Context{}, err
 	}
@@ -210,6 +230,7 @@
 		return Context{}, err
 	}
 	c.Level = Level(level)
+	c.Repeat = repeat == 1
 	c.Timeout = time.Duration(timeout) * time.Millisecond
 	return c, nil
 }
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -66,6 +66,12 @@
 	ReasonNoUpstream Reason = "no-upstream"
 	// ReasonUpstreamShed: the upstream itself refused before doing anything.
 	ReasonUpstreamShed Reason = "upstream-shed"
+	// ReasonUpstreamRefused: the upstream itself refused before doing anything,
+	// though it had free slots. The refusal says nothing of its load.
+	ReasonUpstreamRefused Reason = "upstream-refused"
+	// ReasonRetryBudget: the call belongs to a run that is itself a retry, and the
+	// retries of the service called have reached their share.
+	ReasonRetryBudget Reason = "retry-budget"
 	// ReasonConnect: no connection could be made, so nothing was sent.
 	ReasonConnect Reason = "connect"
 	// ReasonLost: the connection broke after the call was sent.
--- a/node/adjust_test.go
+++ b/node/adjust_test.go
@@ -15,14 +15,14 @@
 	inFleet(t, func(f *fleet) {
 		n := f.addRouted("a", "desk", 10, echo, func(s *Settings) { s.RetryRatio = 0.2 })
 		f.settle()
-		before := n.budgetOf("desk")
+		before := n.retriesOf("desk").bound
 		f.c.Assert(n.Adjust(Adjustment{DrainTimeout: 3 * time.Second, RetryRatio: 0.2}), qt.IsNil)
-		f.c.Check(n.budgetOf("desk"), qt.Equals, before)
+		f.c.Check(n.retriesOf("desk").bound, qt.Equals, before)
 		f.c.Assert(n.Adjust(Adjustment{DrainTimeout: 3 * time.Second, RetryRatio: 0}), qt.IsNil)
 		for range 1000 {
-			n.budgetOf("desk").OnFirst(n.now())
+			n.retriesOf("desk").bound.OnFirst(n.now())
 		}
-		f.c.Check(n.budgetOf("desk").Allow(n.now()), qt.IsFalse)
+		f.c.Check(n.retriesOf("desk").bound.Allow(n.now()), qt.IsFalse)
 		for _, wrong := range []Adjustment{{DrainTimeout: -1}, {RetryRatio: 2}} {
 			f.c.Check(n.Adjust(wrong), qt.ErrorAs, new(*SettingsError))
 		}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"pollengauge.dev/call"
@@ -19,6 +20,8 @@
 	// free counts the attempts that nothing was paid for.
 	free  int
 	worst call.Level
+	// reached is set once an attempt may have come as far as an upstream.
+	reached bool
 	// mayHaveRun is set once an attempt ended unknown. A later attempt that is
 	// refused doesn't undo it: the whole is then unknown, never not-run.
 	mayHaveRun bool
@@ -29,7 +32,9 @@
 // or the visit's for a call that an upstream makes.
 func (n *Node) dispatch(ctx context.Context, req *request, credit *retry.Credit) *answer {
 	d := &dispatching{node: n, req: req, credit: credit}
-	n.budgetOf(req.service).OnFirst(n.now())
+	if unpaid := n.payFirst(req); unpaid != nil {
+		return unpaid
+	}
 	for attempt := 1; ; attempt++ {
 		a := d.attempt(ctx, attempt)
 		if a.target == "" || !d.again(ctx, a) {
@@ -61,6 +66,7 @@
 	lent := d.lend()
 	start := n.now()
 	req := *d.req
+	req.call.Repeat = d.req.call.Repeat || d.reached
 	req.span = d.req.span.child()
 	a := n.attempt(ctx, target, &req, lent)
 	took := n.now().Sub(start)
@@ -71,6 +77,7 @@
 	d.worst = max(d.worst, a.report.Worst)
 	d.tried = append(d.tried, target.ID)
 	d.mayHaveRun = d.mayHaveRun || a.report.Outcome == call.Unknown
+	d.reached = d.reached || a.report.Outcome != call.NotRun || !retry.BeforeUpstream(a.report.Reason)
 	a.target = target.ID
 	n.recordAttempt(&req, a, attempt, lent, start, took)
 	n.countAttempt(req.call.Profile, lent, a)
@@ -113,13 +120,16 @@
 		DeadlineLeft: d.req.deadline.Sub(now),
 		TargetsLeft:  n.router.Candidates(d.req.service, d.tried, now),
 		Refusing:     n.router.Refusing(d.req.service, now),
+		Stake:        retry.Stake{Priority: d.req.call.Level.Priority(), Remaining: d.req.remaining},
 	}
 	if !d.req.body.rewind() || ctx.Err() != nil {
 		return false
 	}
 	decision.Free = n.spoken()
 	decision.FreeMade = d.free
-	verdict := retry.Claim(decision, d.credit, n.budgetOf(d.req.service), now)
+	retries := n.retriesOf(d.req.service)
+	account := retry.Account{Bound: retries.bound, Ration: retries.ration, Draw: rand.Float64()}
+	verdict := retry.Claim(decision, d.credit, account, now)
 	profile := n.metrics.Profile(d.req.call.Profile)
 	profile.Retry(string(verdict.Why))
 	a.ended = verdict.Why
@@ -128,7 +138,7 @@
 		d.free++
 	case verdict.Retry:
 		profile.Spent.Inc(1)
-	case verdict.Why == retry.WhyBudget:
+	case verdict.Why == retry.WhyBudget, verdict.Why == retry.WhyRationed:
 		n.log.Emit(observe.RetryBudgetSpent, observe.Str("of", d.req.service))
 	}
 	return verdict.Retry
--- a/node/local.go
+++ b/node/local.go
@@ -36,7 +36,10 @@
 	deadline time.Time
 	// idempotent tells whether running the call twice is harmless.
 	idempotent bool
-	span       span
+	// remaining is how many calls the run that makes this one still needs, this one
+	// included; 0 where no run is known.
+	remaining int
+	span      span
 	// homeHops counts how often the call was passed on in search of its
 	// key's home.
 	homeHops int
@@ -260,6 +263,9 @@
 	l.noteWork(outcome, reason, status)
 	l.visit.close()
 	l.node.visits.remove(l.visit)
+	if outcome == call.Complete && status < http.StatusBadRequest {
+		l.node.graph.Completed(l.request.call.Profile, l.visit.completedCalls(), l.node.now())
+	}
 	l.cancel()
 	waited := l.visit.ticket.Waited()
 	profile := l.node.metrics.Profile(l.request.call.Profile)
--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -21,7 +21,7 @@
 		if told.Reason == call.ReasonOtherInstance {
 			l.node.noteInstance(up, told.Instance)
 		}
-		return l.gaveUp(resp, resp.Header, call.NotRun, told.Reason, "")
+		return l.gaveUp(resp, resp.Header, call.NotRun, l.refusedReason(told.Reason), "")
 	}
 	// The connection is not used again: what comes on it next may belong to
 	// any request.
@@ -29,6 +29,15 @@
 	return l.notBelieved(told.Reason)
 }
 
+// refusedReason tells a refusal that goes with the upstream's load from one that
+// does not: the second may be repeated at others, however many of them refuse.
+func (l *localCall) refusedReason(told call.Reason) call.Reason {
+	if told == call.ReasonUpstreamShed && l.node.gate.HasRoom() {
+		return call.ReasonUpstreamRefused
+	}
+	return told
+}
+
 // completeHeld passes on the upstream's answer once it is whole.
 func (l *localCall) completeHeld(resp *http.Response) *answer {
 	body, whole, err := heldBody(resp)
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,7 @@
 	below   *admission.Shedder
 	stored  *admission.Brownout
 	budget  atomic.Pointer[retry.Budget]
-	// budgets has one for each service where a dialect is spoken.
+	// budgets has the serviceRetries of each service where a dialect is spoken.
 	budgets sync.Map
 	// adjusted has the settings that may have changed since the start.
 	adjusted atomic.Pointer[Adjustment]
--- a/node/record_test.go
+++ b/node/record_test.go
@@ -59,7 +59,7 @@
 	c := qt.New(t)
 	for _, why := range []retry.Why{
 		retry.WhyMayHaveRun, retry.WhyHopeless, retry.WhyOverload, retry.WhyDeadline,
-		retry.WhyNoTarget, retry.WhyNoCredit, retry.WhyBudget,
+		retry.WhyNoTarget, retry.WhyNoCredit, retry.WhyRationed, retry.WhyBudget,
 	} {
 		c.Check(observe.Ending(string(why)), qt.Not(qt.Equals), "", qt.Commentf("%s", why))
 	}
--- a/node/routed.go
+++ b/node/routed.go
@@ -33,7 +33,12 @@
 		return
 	}
 	report := call.Report{Outcome: call.Unknown}
-	defer func() { parent.end(report, n.now()) }()
+	defer func() {
+		parent.end(report, n.now())
+		if report.Outcome == call.Complete {
+			parent.noteCompleted(req.call.Profile)
+		}
+	}()
 	ctx, cancel := mergeContext(r.Context(), parent.ctx, req.deadline)
 	defer cancel()
 	report = n.serveRoot(w, r.WithContext(ctx), req)
@@ -63,6 +68,8 @@
 	req.call.Progress = max(parent.progress(), 1)
 	req.call.Level = parent.call.Level
 	req.call.HeldBack = parent.call.HeldBack
+	req.call.Repeat = parent.call.Repeat
+	req.remaining = n.graph.Needs(parent.call.Profile, req.call.Profile) - parent.completedOf(req.call.Profile)
 	if parent.deadline.Before(req.deadline) {
 		req.deadline = parent.deadline
 	}
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -28,11 +28,7 @@
 }
 
 func (plainDialect) ParentOf(id string) string {
-	parent, _, found := strings.Cut(id, "/")
-	if !found {
-		return ""
-	}
-	return parent
+	return id[:max(strings.LastIndexByte(id, '/'), 0)]
 }
 
 func (plainDialect) WriteUpstream(h http.Header, u UpstreamRequest) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -124,10 +124,12 @@
 	NoBudget     bool // no ratio bound on retries
 	NoFairness   bool // tie-break by request id only
 	NoProgress   bool // a call whose request has work done counts as new
+	NoRation     bool // retries go to who asks first, not to who needs the fewest
 	NoSealing    bool // a broken attempt counts as unsent (unsafe; shows why)
 	NoVisitProof bool // an upstream's shed answer is believed (unsafe)
 
 	// The rest are unsafe as well, and there to show that each is needed.
+	RepeatsEarn      bool // a call of a run that is a retry earns retries like a first one
 	CopiedCredit     bool // a call hands down its whole credit and keeps it
 	TransportReplays bool // http.Transport may resend a request by itself
 	NoAbort          bool // an answer that breaks off ends like a whole one
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -127,7 +127,7 @@
 			n.metrics.ServiceLoad.With(service).Update(float64(load) / float64(count) / loadUnit)
 		}
 		if n.spoken() {
-			n.metrics.RetryBudgetLeft.With(service).Update(int64(n.budgetOf(service).Left(n.now())))
+			n.metrics.RetryBudgetLeft.With(service).Update(int64(n.retriesOf(service).bound.Left(n.now())))
 		}
 	}
 }
--- a/node/visit.go
+++ b/node/visit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"maps"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,8 @@
 	open   int
 	// done counts the calls below that ran or may have.
 	done int
+	// completed counts, by profile, the calls below that had an answer.
+	completed map[string]int
 	// below is how long calls below were open, and openSince when the first of
 	// those that are open now began.
 	below     time.Duration
@@ -74,6 +77,30 @@
 	}
 }
 
+// noteCompleted counts a call below that had an answer.
+func (v *visit) noteCompleted(profile string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.completed == nil {
+		v.completed = make(map[string]int)
+	}
+	v.completed[profile]++
+}
+
+// completedCalls returns the calls below that had an answer, by profile.
+func (v *visit) completedCalls() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.completed)
+}
+
+// completedOf is how many calls below of one profile had an answer.
+func (v *visit) completedOf(profile string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.completed[profile]
+}
+
 // close ends the visit and reports whether nothing ran below it. A call still
 // open counts as run: its outcome would come too late to be told.
 func (v *visit) close() (nothingRan bool) {
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -26,6 +26,8 @@
 	{call.ReasonNoTarget, "no member of the service takes work: none is known, or each of them drains or can't be reached", "See in status whether nodes of that service run, and whether they drain; else start one, or correct the service's name in the caller."},
 	{call.ReasonNoUpstream, "no upstream has announced itself to this node", "See whether the upstream beside this node runs and announces itself."},
 	{call.ReasonUpstreamShed, "the upstream itself refused before doing anything", "The upstream's own limit is below the node's; raise it, or lower the slots that it announces."},
+	{call.ReasonUpstreamRefused, "the upstream itself refused before doing anything, though it had free slots", "Look at the upstream: it refuses for another cause than load. Calls are repeated at others as far as the retry budget goes."},
+	{call.ReasonRetryBudget, "the call belonged to a run that was itself a retry, and the retries of the service had reached their share", "Find the service that fails; more retries would only add load."},
 	{call.ReasonConnect, "no connection could be made, so nothing was sent", "See whether the target runs, the upstream beside its node too, and whether its connections are used up."},
 	{call.ReasonLost, "the connection broke after the call was sent", "Look for a crash or restart of the target. Ask the upstream about the key before sending again."},
 	{call.ReasonTimeout, "the deadline passed after the call was dispatched", "Find the slow hop. Ask the upstream about the key before sending again."},
--- a/observe/endings.go
+++ b/observe/endings.go
@@ -12,6 +12,7 @@
 	"deadline":     "too little time was left for another attempt",
 	"no-target":    "every target had been tried",
 	"no-credit":    "the retry credit of the request was used up, or lent to other calls (credit in its profile)",
+	"rationed":     "more retries were wanted than the service's budget earns, and they went to requests that need fewer of them",
 	"budget":       "the retries of the node had reached their share of its first attempts (retryRatio in limits)",
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -117,7 +117,7 @@
 	epoch := b.epoch(now)
 	shard := &b.shards[rand.Uint32()%budgetShards]
 	shard.mu.Lock()
-	add(&shard.firsts, epoch)
+	add(shard.firsts[:], epoch)
 	shard.mu.Unlock()
 }
 
@@ -127,10 +127,10 @@
 	firsts := b.sumFirsts(epoch)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if float64(sum(&b.retries, epoch)+1) > b.config.Ratio*float64(firsts)+float64(b.config.Burst) {
+	if float64(sum(b.retries[:], epoch)+1) > b.config.Ratio*float64(firsts)+float64(b.config.Burst) {
 		return false
 	}
-	add(&b.retries, epoch)
+	add(b.retries[:], epoch)
 	return true
 }
 
@@ -154,7 +154,7 @@
 	firsts := b.sumFirsts(epoch)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return BudgetState{Firsts: firsts, Retries: sum(&b.retries, epoch)}
+	return BudgetState{Firsts: firsts, Retries: sum(b.retries[:], epoch)}
 }
 
 func (b *Budget) sumFirsts(epoch int64) int64 {
@@ -162,7 +162,7 @@
 	for i := range b.shards {
 		shard := &b.shards[i]
 		shard.mu.Lock()
-		firsts += sum(&shard.firsts, epoch)
+		firsts += sum(shard.firsts[:], epoch)
 		shard.mu.Unlock()
 	}
 	return firsts
@@ -170,8 +170,8 @@
 
 // add counts one in the slot of epoch. A time behind the slot's (two callers
 // read the clock, then took the lock in the other order) counts as the slot's.
-func add(slots *[budgetSlots]sliceCount, epoch int64) {
-	slot := &slots[slotOf(epoch)]
+func add(slots []sliceCount, epoch int64) {
+	slot := &slots[slotOf(epoch, len(slots))]
 	if slot.epoch < epoch {
 		*slot = sliceCount{epoch: epoch}
 	}
@@ -179,16 +179,17 @@
 }
 
 // sum adds the slots that lie in the window ending with epoch.
-func sum(slots *[budgetSlots]sliceCount, epoch int64) int64 {
+func sum(slots []sliceCount, epoch int64) int64 {
 	var total int64
 	for i := range slots {
-		if slots[i].epoch > epoch-budgetSlots {
+		if slots[i].epoch > epoch-int64(len(slots)) {
 			total += slots[i].count
 		}
 	}
 	return total
 }
 
-func slotOf(epoch int64) int64 {
-	return (epoch%budgetSlots + budgetSlots) % budgetSlots
+func slotOf(epoch int64, slots int) int64 {
+	n := int64(slots)
+	return (epoch%n + n) % n
 }
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -31,6 +31,9 @@
 	WhyNoTarget Why = "no-target"
 	// WhyNoCredit: the request has used up its extra attempts, or lent them.
 	WhyNoCredit Why = "no-credit"
+	// WhyRationed: more retries are wanted than the budget earns, and other
+	// requests need fewer of them.
+	WhyRationed Why = "rationed"
 	// WhyBudget: this node's retries have reached their share.
 	WhyBudget Why = "budget"
 )
@@ -40,7 +43,9 @@
 //
 // One hot target of three refuses: another has room, and the retry saves the
 // request. All three refuse: a retry is one more refusal, and takes the
-// node's budget from failures that a retry can mend.
+// node's budget from failures that a retry can mend. A refusal in spite of free
+// slots is none for overload: the next target is as likely to take the call as
+// any.
 const OverloadThousandths = 500
 
 // Decision is all that Decide looks at.
@@ -64,6 +69,8 @@
 	// room. Claim fills both.
 	Credit int
 	Budget bool
+	// Stake is what the retry is worth.
+	Stake Stake
 	// DeadlineLeft is the time left for the call; AttemptTime is what an
 	// attempt is expected to take, 0 when not known.
 	DeadlineLeft time.Duration
@@ -110,23 +117,47 @@
 		return Verdict{Why: WhyNoCredit}
 	case !in.Budget:
 		return Verdict{Why: WhyBudget}
+	case overload(in.Reason) && in.Free && in.FreeMade >= MaxFree:
+		return Verdict{Why: WhyOverload}
 	}
 	return Verdict{Retry: true, Why: WhyRetry}
 }
 
+// Bound is a Budget or a Bucket.
+type Bound interface {
+	// OnFirst counts a first attempt, which earns a part of a retry.
+	OnFirst(now time.Time)
+	// Allow reports whether a retry may be made now, and pays for it if so.
+	Allow(now time.Time) bool
+	// Left returns how many retries may be made now.
+	Left(now time.Time) int
+}
+
+// Account is what retries are paid from: their bound, and the ration that chooses
+// among them, nil for none. Draw is a random number from 0 to 1, exclusive, for the
+// ration.
+type Account struct {
+	Bound  Bound
+	Ration *Ration
+	Draw   float64
+}
+
 // Claim decides and, when the answer is a retry, takes one from the credit
 // and one from the budget: both or neither. It fills in.Credit and in.Budget.
-func Claim(in Decision, credit *Credit, budget *Budget, now time.Time) Verdict {
+func Claim(in Decision, credit *Credit, account Account, now time.Time) Verdict {
 	in.Credit = credit.Available()
 	in.Budget = true
 	verdict := Decide(in)
 	if !verdict.Retry || verdict.Free {
 		return verdict
 	}
+	if account.Ration != nil && !account.Ration.Admit(in.Stake, account.Draw, now) {
+		return Verdict{Why: WhyRationed}
+	}
 	if credit.Take(1) == 0 {
 		return Verdict{Why: WhyNoCredit}
 	}
-	if !budget.Allow(now) {
+	if !account.Bound.Allow(now) {
 		credit.putBack(1)
 		return Verdict{Why: WhyBudget}
 	}
--- a/retry/example_test.go
+++ b/retry/example_test.go
@@ -25,7 +25,7 @@
 		Service:      "filing",
 		DeadlineLeft: time.Second,
 		TargetsLeft:  2,
-	}, credit, budget, now)
+	}, credit, retry.Account{Bound: budget}, now)
 	fmt.Println("retry:", verdict.Retry)
 	fmt.Println("left:", credit.Left())
 	// Output:
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -64,8 +64,8 @@
 
 	credit := NewCredit(2)
 	budget := NewBudget(BudgetConfig{Burst: 1, Start: start})
-	c.Assert(Claim(base, credit, budget, start), qt.Equals, Verdict{Retry: true, Why: WhyRetry})
-	c.Assert(Claim(base, credit, budget, start), qt.Equals, Verdict{Why: WhyBudget})
+	c.Assert(Claim(base, credit, Account{Bound: budget}, start), qt.Equals, Verdict{Retry: true, Why: WhyRetry})
+	c.Assert(Claim(base, credit, Account{Bound: budget}, start), qt.Equals, Verdict{Why: WhyBudget})
 	c.Assert(credit.Left(), qt.Equals, 1)
 }
 
@@ -251,4 +251,23 @@
 	shed := base
 	shed.Reason = call.ReasonUpstreamShed
 	c.Check(Decide(shed), qt.Equals, Verdict{Why: WhyNoCredit})
+	thrice := base
+	thrice.FreeMade, thrice.Credit, thrice.Budget = MaxFree, 1, true
+	c.Check(Decide(thrice), qt.Equals, Verdict{Why: WhyOverload})
+	thrice.Reason = call.ReasonConnect
+	c.Check(Decide(thrice), qt.Equals, Verdict{Retry: true, Why: WhyRetry})
+}
+
+// Most targets of a service refuse. With free slots it says nothing of their load,
+// and the next one is as likely to take the call as any; with their slots in use, one
+// more attempt is one more refusal.
+func TestRefusalsInSpiteOfRoomAreNoOverload(t *testing.T) {
+	c := qt.New(t)
+	in := Decision{
+		Outcome: call.NotRun, Reason: call.ReasonUpstreamRefused, Hop: "index", Service: "index",
+		Credit: 1, Budget: true, DeadlineLeft: time.Second, TargetsLeft: 1, Refusing: 900,
+	}
+	c.Check(Decide(in), qt.Equals, Verdict{Retry: true, Why: WhyRetry})
+	in.Reason = call.ReasonUpstreamShed
+	c.Check(Decide(in), qt.Equals, Verdict{Why: WhyOverload})
 }
--- a/routing/target.go
+++ b/routing/target.go
@@ -69,7 +69,7 @@
 			return verdictNeutral
 		}
 		return verdictFailed
-	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamShed, call.ReasonBusy, call.ReasonPeerFull:
+	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamShed, call.ReasonUpstreamRefused, call.ReasonBusy, call.ReasonPeerFull:
 		if f.Deeper {
 			return verdictNeutral
 		}
