--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -21,6 +21,9 @@
 	// some requests are let through, which bring news.
 	heardLife = time.Second
 	heardKept = 0.8
+	// workWeight is the weight of one answer in what a kind's requests take. Work
+	// varies more than pressure, and changes with releases, not with the load.
+	workWeight = 0.05
 )
 
 // Shedder refuses requests where they begin, by the pressure of the deepest
@@ -28,15 +31,18 @@
 //
 // Load pattern: more requests come than the upstreams below carry. The least
 // important ones are refused before any work is done, and of one priority
-// those of the callers that ask most. Which levels those are depends on what
-// comes here: the Shedder counts the arrivals that are under pressure by level
-// and refuses below the level that leaves out the wanted share.
+// those of the callers that ask most, and of the kinds that take most of what is
+// short (see place). Which levels those are depends on what comes here: the Shedder
+// counts the arrivals that are under pressure by level, each by the work that it
+// would bring, and refuses below the level that leaves out the wanted share.
 type Shedder struct {
 	mu       sync.Mutex
 	profiles map[string]*heard
 	arrivals [levels]float64
 	total    float64
 	next     time.Time
+	// usual is the work of a kind of which none is known.
+	usual float64
 	// threshold is the level for each tenth of a percent that was asked for
 	// since the last tick.
 	thresholds map[int]call.Level
@@ -47,11 +53,17 @@
 	value float64
 	// at is when value was last brought up to date, heardAt when an answer was.
 	at, heardAt time.Time
+	// work is what a request takes of the overloaded upstream, in milliseconds of
+	// its slots, 0 while unknown. priority is that of the latest request.
+	work     float64
+	priority call.Priority
+	// favor is as in place, set with each tick.
+	favor float64
 }
 
 // NewShedder returns a Shedder that refuses nothing.
 func NewShedder() *Shedder {
-	return &Shedder{profiles: make(map[string]*heard), thresholds: make(map[int]call.Level)}
+	return &Shedder{profiles: make(map[string]*heard), usual: usualWork, thresholds: make(map[int]call.Level)}
 }
 
 // Heard takes the pressure, 0 to 1, that an answer brought for a profile.
@@ -63,7 +75,7 @@
 		if len(s.profiles) >= maxProfiles {
 			return
 		}
-		h = &heard{value: value, heardAt: now}
+		h = &heard{value: value, heardAt: now, favor: 1}
 		s.profiles[profile] = h
 	}
 	weight := 1 - math.Exp(-float64(now.Sub(h.heardAt))/float64(heardSpan))
@@ -71,6 +83,21 @@
 	h.at, h.heardAt = now, now
 }
 
+// HeardWork takes what an answer brought for a profile of the work that its request
+// made at the upstream that is short, in milliseconds. 0 says nothing.
+func (s *Shedder) HeardWork(profile string, ms int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.profiles[profile]
+	switch {
+	case h == nil || ms <= 0:
+	case h.work == 0:
+		h.work = float64(ms)
+	default:
+		h.work += workWeight * (float64(ms) - h.work)
+	}
+}
+
 // Pressure is what is known of a profile's pressure.
 func (s *Shedder) Pressure(profile string, now time.Time) float64 {
 	s.mu.Lock()
@@ -83,6 +110,11 @@
 	if h == nil {
 		return 0
 	}
+	return s.decayed(h, now)
+}
+
+// decayed is a pressure that is believed less the longer no answer came.
+func (s *Shedder) decayed(h *heard, now time.Time) float64 {
 	if now.Sub(h.at) > heardLife {
 		h.value *= heardKept
 		h.at = now
@@ -111,10 +143,17 @@
 	if value < noPressure {
 		return Admission{Admitted: true}
 	}
-	s.arrivals[min(level, call.MaxLevel)]++
-	s.total++
+	h := s.profiles[profile]
+	h.priority = level.Priority()
+	work := h.work
+	if work == 0 {
+		work = s.usual
+	}
+	placed := place(min(level, call.MaxLevel), h.favor)
+	s.arrivals[placed] += work
+	s.total += work
 	threshold := s.threshold(value)
-	return Admission{Admitted: level >= threshold, InForce: threshold, HeldBack: value}
+	return Admission{Admitted: placed >= threshold, InForce: threshold, HeldBack: value}
 }
 
 // tick lets old arrivals fade.
@@ -129,6 +168,31 @@
 		s.arrivals[i] *= shedderDecay
 		s.total += s.arrivals[i]
 	}
+	s.compare(now)
+}
+
+// compare sets the favor of each kind under pressure, and the work of a kind of
+// which none is known: the mean of the others.
+func (s *Shedder) compare(now time.Time) {
+	var least [call.MaxPriority + 1]float64
+	sum, known := 0.0, 0
+	for _, h := range s.profiles {
+		if h.work == 0 || s.decayed(h, now) < noPressure {
+			continue
+		}
+		sum += h.work
+		known++
+		if first := least[h.priority] == 0; first || h.work < least[h.priority] {
+			least[h.priority] = h.work
+		}
+	}
+	s.usual = usualWork
+	if known > 0 {
+		s.usual = sum / float64(known)
+	}
+	for _, h := range s.profiles {
+		h.favor = favorOf(h.work, least[h.priority])
+	}
 }
 
 // threshold is the lowest level to admit so that the share of the arrivals is
--- a/call/context.go
+++ b/call/context.go
@@ -68,6 +68,9 @@
 	// HeaderPressure is the share of the requests leading to the answering hop,
 	// or further down, that should not begin, in thousandths.
 	HeaderPressure = "Pollengauge-Pressure"
+	// HeaderWork is how long the request held slots of the upstream that its
+	// pressure comes from, in whole milliseconds. It is absent at 0.
+	HeaderWork = "Pollengauge-Work"
 	// HeaderStale is the age in seconds of a stored answer given in place of
 	// a fresh one (brownout).
 	HeaderStale = "Pollengauge-Stale"
@@ -78,7 +81,7 @@
 var NodeHeaders = []string{
 	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
-	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderStale,
+	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderStale,
 }
 
 // PropagatedHeaders are what an upstream copies onto its own calls.
@@ -111,6 +114,8 @@
 	maxLoad = 100_000
 	// maxPressure is the whole, in thousandths.
 	maxPressure = 1000
+	// maxWork is the most work of a Report, in milliseconds.
+	maxWork = 1_000_000
 )
 
 // Context is what one call carries down the chain.
@@ -252,6 +257,9 @@
 	// Pressure is the share of the requests leading here that should not begin,
 	// in thousandths.
 	Pressure int
+	// Work is how long the request held slots of the upstream that Pressure comes
+	// from, in milliseconds. Inject writes at most a thousand seconds.
+	Work int
 }
 
 // Inject writes r to the headers of an answer.
@@ -269,6 +277,9 @@
 	if r.Pressure > 0 {
 		h.Set(HeaderPressure, strconv.Itoa(min(r.Pressure, maxPressure)))
 	}
+	if r.Work > 0 {
+		h.Set(HeaderWork, strconv.Itoa(min(r.Work, maxWork)))
+	}
 }
 
 // ExtractReport reads the report of a peer's answer. On an error the report
@@ -292,6 +303,9 @@
 	if r.Pressure, err = optionalNumber(h, HeaderPressure, maxPressure); err != nil {
 		return Report{}, err
 	}
+	if r.Work, err = optionalNumber(h, HeaderWork, maxWork); err != nil {
+		return Report{}, err
+	}
 	if reason := h.Get(HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -159,7 +159,7 @@
 }
 
 // insideHeaders are what only nodes tell each other.
-var insideHeaders = []string{call.HeaderWorst, call.HeaderCreditLeft, call.HeaderLoad, call.HeaderPressure}
+var insideHeaders = []string{call.HeaderWorst, call.HeaderCreditLeft, call.HeaderLoad, call.HeaderPressure, call.HeaderWork}
 
 // tellOutside writes the part of a report that callers may know.
 func tellOutside(h http.Header, r call.Report) {
--- a/node/local.go
+++ b/node/local.go
@@ -383,6 +383,7 @@
 	r.Load = n.gate.Load()
 	if n.spoken() {
 		r.Pressure = n.pressureOf(v.call.Profile)
+		r.Work = n.workOf(v)
 	}
 }
 
--- a/node/pressed.go
+++ b/node/pressed.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/http"
 	"time"
 
 	"pollengauge.dev/admission"
@@ -50,6 +51,22 @@
 		return
 	}
 	n.shedder.Heard(req.call.Profile, told, n.now())
+	if a.report.Outcome == call.Complete && a.status < http.StatusInternalServerError {
+		n.shedder.HeardWork(req.call.Profile, a.report.Work)
+	}
+}
+
+// workOf is how long a visit held slots of the upstream that its pressure comes
+// from: its own time where that is the upstream here, else what its calls told.
+// It is 0 where nothing is short.
+func (n *Node) workOf(v *visit) int {
+	if below := v.workedBelow(); below > 0 && n.gate.Pressure() < n.pressureOf(v.call.Profile) {
+		return below
+	}
+	if n.gate.Pressure() == 0 {
+		return 0
+	}
+	return int(n.now().Sub(v.started).Milliseconds())
 }
 
 const pressureUnit = 1000
--- a/node/visit.go
+++ b/node/visit.go
@@ -45,6 +45,8 @@
 	below     time.Duration
 	openSince time.Time
 	worst     call.Level
+	// workBelow is the work that calls below reported, in milliseconds.
+	workBelow int
 }
 
 // begin opens a call below. It fails once the visit is closed: a call that an
@@ -72,6 +74,7 @@
 		v.below += now.Sub(v.openSince)
 	}
 	v.worst = max(v.worst, r.Worst)
+	v.workBelow += r.Work
 	if r.Outcome != call.NotRun {
 		v.done++
 	}
@@ -138,6 +141,12 @@
 	return min(v.call.Progress+v.done, call.MaxProgress)
 }
 
+func (v *visit) workedBelow() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.workBelow
+}
+
 func (v *visit) worstBelow() call.Level {
 	v.mu.Lock()
 	defer v.mu.Unlock()
