node, retry, routing: an upstream's own error is repeated elsewhere, and counted against it

Change: the node beside the upstream tells an error of its own from one that a failed call below caused; routing counts the first as a failure, and calls that may run twice are repeated once, within the budget. Where no other attempt brings an answer the upstream's error is delivered as it is. Changes that may not run twice are untouched.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -44,7 +44,7 @@
 type Reason string
 
 const (
-	// ReasonNone accompanies a complete answer.
+	// ReasonNone accompanies a complete answer that is no error.
 	ReasonNone Reason = ""
 	// ReasonQueueFull: the admission queue held only more important work.
 	ReasonQueueFull Reason = "queue-full"
@@ -69,6 +69,12 @@
 	// ReasonUpstreamRefused: the upstream itself refused before doing anything,
 	// though it had free slots. The refusal says nothing of its load.
 	ReasonUpstreamRefused Reason = "upstream-refused"
+	// ReasonUpstreamFailed: the upstream answered with an error of its own; no call
+	// that it made had failed. It accompanies a complete answer.
+	ReasonUpstreamFailed Reason = "upstream-failed"
+	// ReasonFailedBelow: the upstream answered with an error after a call that it
+	// made had failed, or at its deadline. It accompanies a complete answer.
+	ReasonFailedBelow Reason = "failed-below"
 	// ReasonRetryBudget: the call belongs to a run that is itself a retry, and the
 	// retries of the service called have reached their share.
 	ReasonRetryBudget Reason = "retry-budget"
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -22,6 +22,9 @@
 	worst call.Level
 	// reached is set once an attempt may have come as far as an upstream.
 	reached bool
+	// failed is an upstream's error that was repeated, nil if none was. It is the
+	// answer if no other attempt brings one.
+	failed *answer
 	// mayHaveRun is set once an attempt ended unknown. A later attempt that is
 	// refused doesn't undo it: the whole is then unknown, never not-run.
 	mayHaveRun bool
@@ -40,7 +43,7 @@
 		if a.target == "" || !d.again(ctx, a) {
 			return d.judge(a)
 		}
-		a.close()
+		d.put(a)
 	}
 }
 
@@ -76,7 +79,7 @@
 	}
 	d.worst = max(d.worst, a.report.Worst)
 	d.tried = append(d.tried, target.ID)
-	d.mayHaveRun = d.mayHaveRun || a.report.Outcome == call.Unknown
+	d.mayHaveRun = d.mayHaveRun || a.report.Outcome != call.NotRun
 	d.reached = d.reached || a.report.Outcome != call.NotRun || !retry.BeforeUpstream(a.report.Reason)
 	a.target = target.ID
 	n.recordAttempt(&req, a, attempt, lent, start, took)
@@ -106,7 +109,7 @@
 
 // again decides whether another attempt follows a, and pays for it.
 func (d *dispatching) again(ctx context.Context, a *answer) bool {
-	if a.report.Outcome == call.Complete {
+	if a.report.Outcome == call.Complete && a.report.Reason != call.ReasonUpstreamFailed {
 		return false
 	}
 	n := d.node
@@ -144,8 +147,28 @@
 	return verdict.Retry
 }
 
-// judge gives the final answer the outcome of the whole.
+// put lays an answer aside that is followed by another attempt.
+func (d *dispatching) put(a *answer) {
+	if a.report.Outcome == call.Complete && d.failed == nil {
+		d.failed = a
+		return
+	}
+	a.close()
+}
+
+// judge gives the final answer the outcome of the whole. What an upstream answered
+// goes before a refusal of a later attempt: the call has run, and its caller gets
+// the answer that there is.
 func (d *dispatching) judge(a *answer) *answer {
+	if d.failed != nil {
+		if a.report.Outcome != call.Complete {
+			a.close()
+			d.failed.report.Worst = max(d.failed.report.Worst, d.worst)
+			d.failed.ended = a.ended
+			return d.failed
+		}
+		d.failed.close()
+	}
 	a.report.Worst = max(a.report.Worst, d.worst)
 	if d.mayHaveRun && a.report.Outcome == call.NotRun {
 		a.report.Outcome = call.Unknown
--- a/node/edge.go
+++ b/node/edge.go
@@ -54,6 +54,9 @@
 	a := n.runRoot(ctx, req)
 	n.finishRefusal(a, req)
 	n.recordRoot(req, a, start)
+	if req.parent != nil {
+		req.parent.noteAnswer(req.call.Profile, a.report)
+	}
 	return a
 }
 
--- a/node/local.go
+++ b/node/local.go
@@ -39,7 +39,9 @@
 	// remaining is how many calls the run that makes this one still needs, this one
 	// included; 0 where no run is known.
 	remaining int
-	span      span
+	// parent is the run that makes this call, nil where none is known.
+	parent *visit
+	span   span
 	// homeHops counts how often the call was passed on in search of its
 	// key's home.
 	homeHops int
@@ -224,7 +226,7 @@
 	if err != nil {
 		body = nil
 	}
-	if reason == call.ReasonUpstreamShed {
+	if reason == call.ReasonUpstreamShed || reason == call.ReasonUpstreamRefused {
 		l.node.log.Emit(observe.UpstreamShed, observe.Int("status", resp.StatusCode))
 	}
 	l.finish(l.shedResult(hop), outcome, reason, resp.StatusCode)
--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -49,9 +49,10 @@
 		return l.complete(resp, resp.Header)
 	}
 	_ = resp.Body.Close()
-	l.finish(resultOf(resp.StatusCode), call.Complete, call.ReasonNone, resp.StatusCode)
+	reason := l.visit.errorReason(resp.StatusCode)
+	l.finish(resultOf(resp.StatusCode), call.Complete, reason, resp.StatusCode)
 	a := &answer{status: resp.StatusCode, header: resp.Header, body: memoryBody(body)}
-	a.report = call.Report{Outcome: call.Complete, Hop: l.node.settings.Service}
+	a.report = call.Report{Outcome: call.Complete, Reason: reason, Hop: l.node.settings.Service}
 	l.node.fillReport(&a.report, l.visit)
 	return a
 }
--- a/node/routed.go
+++ b/node/routed.go
@@ -33,12 +33,7 @@
 		return
 	}
 	report := call.Report{Outcome: call.Unknown}
-	defer func() {
-		parent.end(report, n.now())
-		if report.Outcome == call.Complete {
-			parent.noteCompleted(req.call.Profile)
-		}
-	}()
+	defer func() { parent.end(report, n.now()) }()
 	ctx, cancel := mergeContext(r.Context(), parent.ctx, req.deadline)
 	defer cancel()
 	report = n.serveRoot(w, r.WithContext(ctx), req)
@@ -64,6 +59,7 @@
 		return nil
 	}
 	n.graph.CalledBy(parent.call.Profile, req.call.Profile, n.now())
+	req.parent = parent
 	req.call.Depth = min(parent.call.Depth+1, call.MaxDepth)
 	req.call.Progress = max(parent.progress(), 1)
 	req.call.Level = parent.call.Level
--- a/node/visit.go
+++ b/node/visit.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/maphash"
 	"maps"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -38,7 +39,7 @@
 	open   int
 	// done counts the calls below that ran or may have.
 	done int
-	// completed counts, by profile, the calls below that had an answer.
+	// completed counts, by profile, the calls below that ended well.
 	completed map[string]int
 	// below is how long calls below were open, and openSince when the first of
 	// those that are open now began.
@@ -47,6 +48,8 @@
 	worst     call.Level
 	// workBelow is the work that calls below reported, in milliseconds.
 	workBelow int
+	// failedBelow is set once a call below failed.
+	failedBelow bool
 }
 
 // begin opens a call below. It fails once the visit is closed: a call that an
@@ -80,24 +83,43 @@
 	}
 }
 
-// noteCompleted counts a call below that had an answer.
-func (v *visit) noteCompleted(profile string) {
+// noteAnswer takes in the answer of a call below, before it is given to the upstream:
+// the upstream's own answer may come at once.
+func (v *visit) noteAnswer(profile string, r call.Report) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if r.Outcome != call.Complete || r.Reason != call.ReasonNone {
+		v.failedBelow = true
+		return
+	}
 	if v.completed == nil {
 		v.completed = make(map[string]int)
 	}
 	v.completed[profile]++
 }
 
-// completedCalls returns the calls below that had an answer, by profile.
+// errorReason tells an error of the upstream's own from one that a call below
+// caused. Only the first may be gone at another upstream.
+func (v *visit) errorReason(status int) call.Reason {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case status < http.StatusInternalServerError:
+		return call.ReasonNone
+	case status == http.StatusInternalServerError && !v.failedBelow:
+		return call.ReasonUpstreamFailed
+	}
+	return call.ReasonFailedBelow
+}
+
+// completedCalls returns the calls below that ended well, by profile.
 func (v *visit) completedCalls() map[string]int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return maps.Clone(v.completed)
 }
 
-// completedOf is how many calls below of one profile had an answer.
+// completedOf is how many calls below of one profile ended well.
 func (v *visit) completedOf(profile string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -27,6 +27,8 @@
 	{call.ReasonNoUpstream, "no upstream has announced itself to this node", "See whether the upstream beside this node runs and announces itself."},
 	{call.ReasonUpstreamShed, "the upstream itself refused before doing anything", "The upstream's own limit is below the node's; raise it, or lower the slots that it announces."},
 	{call.ReasonUpstreamRefused, "the upstream itself refused before doing anything, though it had free slots", "Look at the upstream: it refuses for another cause than load. Calls are repeated at others as far as the retry budget goes."},
+	{call.ReasonUpstreamFailed, "the upstream answered with an error of its own", "Look at the upstream's log. Repeatable calls are tried at others as far as the retry budget goes."},
+	{call.ReasonFailedBelow, "the upstream answered with an error after a call that it made had failed, or at its deadline", "Find the call: the lines of the same request with a deeper id."},
 	{call.ReasonRetryBudget, "the call belonged to a run that was itself a retry, and the retries of the service had reached their share", "Find the service that fails; more retries would only add load."},
 	{call.ReasonConnect, "no connection could be made, so nothing was sent", "See whether the target runs, the upstream beside its node too, and whether its connections are used up."},
 	{call.ReasonLost, "the connection broke after the call was sent", "Look for a crash or restart of the target. Ask the upstream about the key before sending again."},
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -14,7 +14,8 @@
 const (
 	// WhyRetry: the attempt may be made again, elsewhere.
 	WhyRetry Why = "retry"
-	// WhyComplete: there is an answer, nothing to retry.
+	// WhyComplete: there is an answer, nothing to retry. An error of the upstream's
+	// own is retried where running the call twice does no harm.
 	WhyComplete Why = "complete"
 	// WhyMayHaveRun: the call may have run and isn't idempotent.
 	WhyMayHaveRun Why = "may-have-run"
@@ -95,7 +96,7 @@
 // sense, then the bounds.
 func Decide(in Decision) Verdict {
 	switch {
-	case in.Outcome == call.Complete:
+	case in.Outcome == call.Complete && (in.Reason != call.ReasonUpstreamFailed || !in.Idempotent):
 		return Verdict{Why: WhyComplete}
 	case in.Outcome != call.NotRun && !in.Idempotent:
 		return Verdict{Why: WhyMayHaveRun}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -58,6 +58,14 @@
 		change(&in)
 		c.Assert(Decide(in), qt.Equals, Verdict{Retry: want == WhyRetry, Why: want})
 	}
+	failed := base
+	failed.Outcome, failed.Reason, failed.Hop = call.Complete, call.ReasonUpstreamFailed, "filing"
+	c.Check(Decide(failed), qt.Equals, Verdict{Why: WhyComplete})
+	failed.Idempotent = true
+	c.Check(Decide(failed), qt.Equals, Verdict{Retry: true, Why: WhyRetry})
+	failed.Reason = call.ReasonFailedBelow
+	c.Check(Decide(failed), qt.Equals, Verdict{Why: WhyComplete})
+
 	lost := base
 	lost.Outcome, lost.Reason, lost.Idempotent = call.Unknown, call.ReasonLost, true
 	c.Assert(Decide(lost).Retry, qt.IsTrue)
--- a/routing/target.go
+++ b/routing/target.go
@@ -64,7 +64,8 @@
 func (f Feedback) verdict() verdict {
 	switch f.Reason {
 	case call.ReasonConnect, call.ReasonLost, call.ReasonTimeout,
-		call.ReasonTruncated, call.ReasonNotBelieved, call.ReasonNoUpstream, call.ReasonOtherInstance:
+		call.ReasonTruncated, call.ReasonNotBelieved, call.ReasonNoUpstream, call.ReasonOtherInstance,
+		call.ReasonUpstreamFailed:
 		if f.Deeper {
 			return verdictNeutral
 		}
