--- /dev/null
+++ b/node/zones_test.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// twoZones starts filers a and b in one zone and c in another.
+func (f *fleet) twoZones() (a, b, c *Node) {
+	f.apply(filingProfiles)
+	zone := func(name string) func(*Settings) { return func(s *Settings) { s.Zone = name } }
+	a = f.add("a", "filing", 10, fileSlowly, zone("zone-1"))
+	b = f.add("b", "filing", 10, fileSlowly, zone("zone-1"))
+	c = f.add("c", "filing", 10, fileSlowly, zone("zone-2"))
+	f.settle()
+	return a, b, c
+}
+
+// cutZones cuts or heals every link between the two zones.
+func (f *fleet) cutZones(cut bool) {
+	for _, host := range []string{"a", "b"} {
+		if cut {
+			f.net.Cut(host, "c")
+			f.net.Cut("c", host)
+			continue
+		}
+		f.net.Heal(host, "c")
+		f.net.Heal("c", host)
+	}
+}
+
+// A caller files, its session moves to another zone while the filing runs, and it
+// presses again there with its key. The link between the zones takes 150 ms each way.
+// It must get the answer of the one filing, at both nodes.
+func TestCallerThatMovesOverASlowLinkFilesOnce(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		a, _, c := f.twoZones()
+		f.net.SetDelay(func(from, to string) time.Duration {
+			if (from == "c") != (to == "c") {
+				return 150 * time.Millisecond
+			}
+			return 0
+		})
+		key := f.mintAt(a)
+		first := make(chan reply, 1)
+		go func() { first <- f.file(a, key) }()
+		time.Sleep(100 * time.Millisecond)
+		second := f.file(c, key)
+		for _, got := range []reply{<-first, second, f.file(c, key)} {
+			f.c.Check(got.outcome, qt.Equals, "complete")
+			f.c.Check(got.body, qt.Equals, "filed op")
+		}
+		f.c.Check(f.runs.of("filing", "op"), qt.Equals, 1)
+	})
+}
+
+// The same with the link cut while the filing runs. The node in the other zone can't
+// know what became of it: it must neither run it nor say that it did not run. Once
+// the link is back the caller gets the answer that there is, so nothing is lost.
+func TestCallerThatMovesOverACutFilesOnce(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		a, b, c := f.twoZones()
+		key := f.mintAt(a)
+		first := make(chan reply, 1)
+		go func() { first <- f.file(a, key) }()
+		time.Sleep(100 * time.Millisecond)
+		f.cutZones(true)
+		for range 3 {
+			got := f.file(c, key)
+			f.c.Check(got.outcome, qt.Equals, "unknown", qt.Commentf("%s", got.reason))
+			time.Sleep(time.Second)
+		}
+		f.c.Check((<-first).body, qt.Equals, "filed op")
+		f.cutZones(false)
+		time.Sleep(30 * time.Second)
+		for _, n := range []*Node{c, b, a} {
+			got := f.file(n, key)
+			f.c.Check(got.outcome, qt.Equals, "complete", qt.Commentf("%s", got.reason))
+			f.c.Check(got.body, qt.Equals, "filed op")
+		}
+		f.c.Check(f.runs.of("filing", "op"), qt.Equals, 1)
+	})
+}
+
+// The first node is killed after the filing has run and before its answer came. The
+// caller presses again in the other zone, at once and for minutes: the filing must
+// not run there, and the caller must never be told that it did not run.
+func TestCallerThatMovesFromALostNodeIsToldTheTruth(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		a, _, c := f.twoZones()
+		key := f.mintAt(a)
+		go f.file(a, key)
+		time.Sleep(100 * time.Millisecond)
+		f.c.Assert(f.runs.of("filing", "op"), qt.Equals, 1)
+		f.net.Kill("a")
+		a.Close()
+		delete(f.nodes, "a")
+		for range 20 {
+			got := f.file(c, key)
+			f.c.Check(got.outcome, qt.Equals, "unknown", qt.Commentf("%s", got.reason))
+			time.Sleep(6 * time.Second)
+		}
+		f.c.Check(f.runs.of("filing", "op"), qt.Equals, 1)
+	})
+}
+
+// The caller has no answer for its reminder since the link to its first node is cut
+// before the reminder got there. In the other zone it presses again with a key of its
+// own; once it is told complete, one reminder has gone out, not none and not two.
+func TestReminderOfACallerThatMovesIsNotLost(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		a, _, c := f.twoZones()
+		f.net.Cut("client", "a")
+		go f.file(a, "reminder-7")
+		time.Sleep(100 * time.Millisecond)
+		got := f.file(c, "reminder-7")
+		f.c.Check(got.outcome, qt.Equals, "complete", qt.Commentf("%s", got.reason))
+		f.net.Heal("client", "a")
+		time.Sleep(time.Second)
+		f.c.Check(f.file(a, "reminder-7").body, qt.Equals, "filed op")
+		f.c.Check(f.runs.of("filing", "op"), qt.Equals, 1)
+	})
+}
