--- a/admission/placement_test.go
+++ b/admission/placement_test.go
@@ -96,11 +96,11 @@
 func TestPlacementKeepsAShareForEachKind(t *testing.T) {
 	c := qt.New(t)
 	whole := int(call.MaxTiebreak) + 1
-	for _, favor := range []float64{1, 0.9, 0.5, leastFavor, favorOf(1e6, 1)} {
+	for _, weight := range []float64{1, 0.9, 0.5, leastWeight, weightOf(1e6, 1)} {
 		for threshold := range whole {
 			in := 0
 			for tie := range whole {
-				level := place(call.MakeLevel(9, call.Tiebreak(tie)), favor)
+				level := place(call.MakeLevel(9, call.Tiebreak(tie)), weight)
 				c.Assert(level.Priority(), qt.Equals, call.Priority(9))
 				if int(level.Tiebreak()) >= threshold {
 					in++
@@ -108,10 +108,10 @@
 			}
 			// One step of the tie-break more or less is rounding.
 			kept := keptShare * float64(whole-threshold)
-			c.Assert(float64(in) >= kept-1, qt.IsTrue, qt.Commentf("favor %v, threshold %d: %d of %d", favor, threshold, in, whole))
+			c.Assert(float64(in) >= kept-1, qt.IsTrue, qt.Commentf("weight %v, threshold %d: %d of %d", weight, threshold, in, whole))
 		}
 	}
-	c.Check(favorOf(0, 10), qt.Equals, 1.0)
-	c.Check(favorOf(20, 10), qt.Equals, 0.5)
-	c.Check(favorOf(5, 10), qt.Equals, 1.0)
+	c.Check(weightOf(0, 10), qt.Equals, 1.0)
+	c.Check(weightOf(20, 10), qt.Equals, 0.5)
+	c.Check(weightOf(5, 10), qt.Equals, 1.0)
 }
--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -57,8 +57,8 @@
 	// its slots, 0 while unknown. priority is that of the latest request.
 	work     float64
 	priority call.Priority
-	// favor is as in place, set with each tick.
-	favor float64
+	// weight is as in place, set with each tick.
+	weight float64
 }
 
 // NewShedder returns a Shedder that refuses nothing.
@@ -75,7 +75,7 @@
 		if len(s.profiles) >= maxProfiles {
 			return
 		}
-		h = &heard{value: value, heardAt: now, favor: 1}
+		h = &heard{value: value, heardAt: now, weight: 1}
 		s.profiles[profile] = h
 	}
 	weight := 1 - math.Exp(-float64(now.Sub(h.heardAt))/float64(heardSpan))
@@ -149,7 +149,7 @@
 	if work == 0 {
 		work = s.usual
 	}
-	placed := place(min(level, call.MaxLevel), h.favor)
+	placed := place(min(level, call.MaxLevel), h.weight)
 	s.arrivals[placed] += work
 	s.total += work
 	threshold := s.threshold(value)
@@ -171,7 +171,7 @@
 	s.compare(now)
 }
 
-// compare sets the favor of each kind under pressure, and the work of a kind of
+// compare sets the weight of each kind under pressure, and the work of a kind of
 // which none is known: the mean of the others.
 func (s *Shedder) compare(now time.Time) {
 	var least [call.MaxPriority + 1]float64
@@ -191,7 +191,7 @@
 		s.usual = sum / float64(known)
 	}
 	for _, h := range s.profiles {
-		h.favor = favorOf(h.work, least[h.priority])
+		h.weight = weightOf(h.work, least[h.priority])
 	}
 }
 
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// syncAcross is the part of the syncs, as a divisor, that may go to another
-// availability zone. What one of a zone learns there the others learn from it.
+// syncAcross is how many syncs there are for each that may leave the availability
+// zone. What one member of a zone learns elsewhere the others learn from it.
 const syncAcross = 4
 
 // syncPeers are those to compare tables with. The lock is held.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -123,7 +123,7 @@
 		DeadlineLeft: d.req.deadline.Sub(now),
 		TargetsLeft:  n.router.Candidates(d.req.service, d.tried, now),
 		Refusing:     n.router.Refusing(d.req.service, now),
-		Stake:        retry.Stake{Priority: d.req.call.Level.Priority(), Remaining: d.req.remaining},
+		Benefit:      retry.Benefit{Priority: d.req.call.Level.Priority(), Remaining: d.req.remaining},
 	}
 	if !d.req.body.rewind() || ctx.Err() != nil {
 		return false
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -70,8 +70,8 @@
 	// room. Claim fills both.
 	Credit int
 	Budget bool
-	// Stake is what the retry is worth.
-	Stake Stake
+	// Benefit is what the retry is worth.
+	Benefit Benefit
 	// DeadlineLeft is the time left for the call; AttemptTime is what an
 	// attempt is expected to take, 0 when not known.
 	DeadlineLeft time.Duration
@@ -152,7 +152,7 @@
 	if !verdict.Retry || verdict.Free {
 		return verdict
 	}
-	if account.Ration != nil && !account.Ration.Admit(in.Stake, account.Draw, now) {
+	if account.Ration != nil && !account.Ration.Admit(in.Benefit, account.Draw, now) {
 		return Verdict{Why: WhyRationed}
 	}
 	if credit.Take(1) == 0 {
--- a/retry/ration.go
+++ b/retry/ration.go
@@ -26,19 +26,19 @@
 	rationPlaces = maxRemaining * priorities
 )
 
-// Stake is what a retry is worth: the request that it helps to complete.
-type Stake struct {
+// Benefit is what a retry is worth: the request that it helps to complete.
+type Benefit struct {
 	Priority call.Priority
 	// Remaining is how many calls the run that makes the call still needs, this
 	// one included. Below 1 counts as 1.
 	Remaining int
 }
 
-// place orders stakes: those that need the fewest calls first, and of these the
+// place orders benefits: those that need the fewest calls first, and of these the
 // more important ones.
-func (s Stake) place() int {
-	remaining := min(max(s.Remaining, 1), maxRemaining)
-	priority := min(int(s.Priority), priorities-1)
+func (b Benefit) place() int {
+	remaining := min(max(b.Remaining, 1), maxRemaining)
+	priority := min(int(b.Priority), priorities-1)
 	return (remaining-1)*priorities + priorities - 1 - priority
 }
 
@@ -76,9 +76,9 @@
 	return r
 }
 
-// Admit tells whether a retry for this stake is among those that the budget
+// Admit tells whether a retry with this benefit is among those that the budget
 // reaches for. draw is a random number from 0 to 1, exclusive.
-func (r *Ration) Admit(s Stake, draw float64, now time.Time) bool {
+func (r *Ration) Admit(b Benefit, draw float64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.until.IsZero() {
@@ -87,7 +87,7 @@
 	if !now.Before(r.until) {
 		r.settle(now)
 	}
-	wanted := &r.wanted[s.place()]
+	wanted := &r.wanted[b.place()]
 	wanted.asked++
 	return draw < wanted.granted
 }
--- a/retry/ration_test.go
+++ b/retry/ration_test.go
@@ -60,8 +60,8 @@
 				open = append(open, run)
 				continue
 			}
-			stake := Stake{Priority: run.priority, Remaining: s.calls - run.done}
-			chosen := !s.choose || ration.Admit(stake, random.Float64(), now)
+			benefit := Benefit{Priority: run.priority, Remaining: s.calls - run.done}
+			chosen := !s.choose || ration.Admit(benefit, random.Float64(), now)
 			if run.repeated < s.again && chosen && bucket.Allow(now) {
 				retries++
 				run.repeated++
@@ -120,7 +120,7 @@
 		if i%20 != 0 {
 			continue
 		}
-		if !ration.Admit(Stake{Priority: 2, Remaining: 1 + i%8}, random.Float64(), now) || !bucket.Allow(now) {
+		if !ration.Admit(Benefit{Priority: 2, Remaining: 1 + i%8}, random.Float64(), now) || !bucket.Allow(now) {
 			refused++
 		}
 	}
@@ -130,9 +130,9 @@
 
 // Of two runs with as many calls left, the more important one goes first; a run
 // with fewer left goes before either.
-func TestStakesAreOrdered(t *testing.T) {
+func TestBenefitsAreOrdered(t *testing.T) {
 	c := qt.New(t)
-	order := []Stake{
+	order := []Benefit{
 		{Priority: 15, Remaining: 0}, {Priority: 3, Remaining: 1},
 		{Priority: 15, Remaining: 2}, {Priority: 0, Remaining: 2},
 		{Priority: 15, Remaining: maxRemaining + 5}, {Priority: 1, Remaining: maxRemaining},
@@ -141,5 +141,5 @@
 		c.Check(order[i].place() < order[i+1].place(), qt.IsTrue, qt.Commentf("%v before %v", order[i], order[i+1]))
 	}
 	c.Check(order[0].place() >= 0, qt.IsTrue)
-	c.Check(Stake{Priority: 0, Remaining: 1000}.place() < rationPlaces, qt.IsTrue)
+	c.Check(Benefit{Priority: 0, Remaining: 1000}.place() < rationPlaces, qt.IsTrue)
 }
