membership: a test takes the lock of what it changes

The test changed a node's settings under the lock of its own wrapper, which has the same name as the node's, while the node's loop read them.

Change: the node's own lock. 180 runs with -race pass. No other test writes there.

--- a/membership/failure_test.go
+++ b/membership/failure_test.go
@@ -196,11 +196,11 @@
 func TestMemberThatLeftIsFoundAtItsAddress(t *testing.T) {
 	cluster(t, 12, func(w *network) {
 		for _, n := range w.nodes {
-			n.mu.Lock()
+			n.Gossip.mu.Lock()
 			n.cfg.TryLeft = true
 			n.cfg.HealInterval = time.Second
 			n.due.heal = time.Now()
-			n.mu.Unlock()
+			n.Gossip.mu.Unlock()
 		}
 		left := w.nodes[5]
 		w.c.Assert(left.Leave(w.ctx), qt.IsNil)
