--- a/node/retries_test.go
+++ b/node/retries_test.go
@@ -214,20 +214,34 @@
 // four such calls one in thirty was served. What is refused for another cause than
 // load is taken by the next server as likely as by any.
 func TestRefusalsWithFreeSlotsAreRepeated(t *testing.T) {
-	serve := func(adjust func(*Settings)) (served int) {
-		inFleet(t, func(f *fleet) {
-			c := newChain(f, 4)
-			c.refused = 0.55
-			desks := c.start(3, adjust)
-			served = c.browse(desks, 1500, 5*time.Millisecond)
-		})
-		return served
-	}
-	none := serve(func(s *Settings) { s.RetryRatio = 0 })
-	first := serve(func(s *Settings) { s.Ablate.NoRation = true })
-	chosen := serve(func(*Settings) {})
-	t.Logf("of 1500 served: %d without retries, %d with those that ask first, %d chosen", none, first, chosen)
 	c := qt.New(t)
+	none := serveRefused(t, 3, 4, 0.55, func(s *Settings) { s.RetryRatio = 0 })
+	first := serveRefused(t, 3, 4, 0.55, func(s *Settings) { s.Ablate.NoRation = true })
+	chosen := serveRefused(t, 3, 4, 0.55, func(*Settings) {})
+	t.Logf("of 1500 served: %d without retries, %d with those that ask first, %d chosen", none, first, chosen)
 	c.Check(chosen > 2*none, qt.IsTrue)
 	c.Check(chosen > first, qt.IsTrue)
 }
+
+// The same with fewer refusals, more calls and a larger fleet, each node of which has
+// few of the calls: one in five is refused, and the share that may be repeated is one in
+// five, so most requests with eight calls must be served, where one in six was.
+func TestRefusalsOfALongerChainAreMended(t *testing.T) {
+	c := qt.New(t)
+	none := serveRefused(t, 8, 8, 0.2, func(s *Settings) { s.RetryRatio = 0 })
+	chosen := serveRefused(t, 8, 8, 0.2, func(*Settings) {})
+	t.Logf("of 1500 served: %d without retries, %d with them", none, chosen)
+	c.Check(chosen > 2*none, qt.IsTrue)
+}
+
+// serveRefused returns how many of 1,500 requests are served by a chain with as many
+// nodes of each service, whose deep service refuses a share of its arrivals.
+func serveRefused(t *testing.T, each, calls int, refused float64, adjust func(*Settings)) (served int) {
+	inFleet(t, func(f *fleet) {
+		c := newChain(f, calls)
+		c.refused = refused
+		desks := c.start(each, adjust)
+		served = c.browse(desks, 1500, 5*time.Millisecond)
+	})
+	return served
+}
