--- a/config/store.go
+++ b/config/store.go
@@ -31,6 +31,8 @@
 // Store holds the Set that is in force on one node. Its version only goes up.
 type Store struct {
 	current atomic.Pointer[accepted]
+	// heard is the highest version that is known to exist.
+	heard atomic.Uint64
 
 	// mu is held while a Set is put in force and subscribers are told, so
 	// that each of them sees every version once and in order.
@@ -83,6 +85,27 @@
 	}
 }
 
+// Hear notes that a version exists, whether or not it can be put in force here.
+func (s *Store) Hear(version uint64) {
+	for version <= MaxVersion {
+		known := s.heard.Load()
+		if version <= known || s.heard.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
+// HearUnreadable notes that there is a later version than the one in force, of
+// which not even the number can be read.
+func (s *Store) HearUnreadable() { s.Hear(s.Current().Version() + 1) }
+
+// Newest returns the highest version that is known to exist. It is above the one
+// in force where that one was refused, or is still on its way.
+func (s *Store) Newest() uint64 { return max(s.heard.Load(), s.Current().Version()) }
+
+// Behind reports whether a later version exists than the one in force.
+func (s *Store) Behind() bool { return s.heard.Load() > s.Current().Version() }
+
 // Offer puts an encoded Set in force if it is valid and its version is
 // higher than the one in force, and reports whether it did. A lower or equal
 // Set is ignored without error, for gossip repeats and reorders. Other bytes
--- a/membership/config.go
+++ b/membership/config.go
@@ -18,6 +18,11 @@
 	// Offer hands over the payload of a peer that showed a higher version.
 	// The delegate validates it; a rise of LocalVersion tells that it was taken.
 	Offer(from string, version uint64, data []byte)
+	// NewestVersion returns the highest version that is known to exist, in force
+	// here or not. It is called for each message.
+	NewestVersion() uint64
+	// Hear tells of a version above NewestVersion that some member knows of.
+	Hear(version uint64)
 }
 
 // Config is the set of choices of one Gossip. Zero fields take the defaults.
@@ -234,3 +239,5 @@
 func (noDelegate) LocalVersion() uint64         { return 0 }
 func (noDelegate) Payload() (uint64, []byte)    { return 0, nil }
 func (noDelegate) Offer(string, uint64, []byte) {}
+func (noDelegate) NewestVersion() uint64        { return 0 }
+func (noDelegate) Hear(uint64)                  {}
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -48,7 +48,7 @@
 	if len(more) > 0 {
 		g.spawn(func() { g.tell(peer, m.Kind, more) })
 	}
-	g.afterMessage(from, reply.Version)
+	g.afterMessage(from, reply)
 	return reply, nil
 }
 
@@ -94,6 +94,9 @@
 // sign fills in what every message carries.
 func (g *Gossip) sign(m *Message) {
 	m.Version = g.cfg.Delegate.LocalVersion()
+	if newest := g.cfg.Delegate.NewestVersion(); newest > m.Version {
+		m.Newest = newest
+	}
 	g.mu.Lock()
 	m.From = string(g.table.self.id[:])
 	m.FromSeq = g.table.self.m.Seq
@@ -101,10 +104,13 @@
 }
 
 // afterMessage acts on what a message brought: rumors to forward, or a higher
-// configuration version to fetch.
-func (g *Gossip) afterMessage(from memberID, version uint64) {
-	if version > g.cfg.Delegate.LocalVersion() {
-		g.fetch(from, version)
+// configuration version to hear of or to fetch.
+func (g *Gossip) afterMessage(from memberID, m *Message) {
+	if newest := max(m.Version, m.Newest); newest > g.cfg.Delegate.NewestVersion() {
+		g.cfg.Delegate.Hear(newest)
+	}
+	if m.Version > g.cfg.Delegate.LocalVersion() {
+		g.fetch(from, m.Version)
 	}
 	g.mu.Lock()
 	pending := g.rumors.pending() || len(g.doubts) > 0
@@ -257,7 +263,7 @@
 		// The version must be that of the data, whatever came into force since.
 		reply.Version, reply.Data = g.payload(m.Version)
 	}
-	g.afterMessage(from, m.Version)
+	g.afterMessage(from, m)
 	return reply, nil
 }
 
--- a/membership/message.go
+++ b/membership/message.go
@@ -91,6 +91,9 @@
 	// Version is the sender's configuration version, Data its payload (pull only).
 	Version uint64
 	Data    []byte
+	// Newest is the highest version that the sender knows of, set where it is
+	// above Version: the sender has refused it, or not got it yet.
+	Newest uint64
 }
 
 // validate refuses a message with any malformed field.
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -43,6 +43,7 @@
 	mu      sync.Mutex
 	version uint64
 	data    []byte
+	heard   uint64
 }
 
 func (d *testConfig) LocalVersion() uint64 {
@@ -65,6 +66,18 @@
 	}
 }
 
+func (d *testConfig) NewestVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.version, d.heard)
+}
+
+func (d *testConfig) Hear(version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard = max(d.heard, version)
+}
+
 var errLost = fmt.Errorf("lost")
 
 // Exchange delivers to the peer after the latency, or waits for ctx if either
--- a/node/changes.go
+++ b/node/changes.go
@@ -122,6 +122,13 @@
 	refuted   uint64
 	refused   uint64
 	full      uint64
+	behind    behindSeen
+}
+
+// behindSeen follows for how many looks a version has been missing here.
+type behindSeen struct {
+	version uint64
+	looks   int
 }
 
 // brownoutSeen is how many stored answers a profile had given, and for how
@@ -147,6 +154,30 @@
 	n.reportProfiles()
 	n.reportTargets()
 	n.reportGossip()
+	n.reportBehind()
+}
+
+// behindLooks is for how many looks in a row a version may be on its way before
+// it counts as missing.
+const behindLooks = 3
+
+// reportBehind reports once of each version that others know and this node has
+// not in force.
+//
+// The failure: nodes that watch the platform refuse a version, and say so. All
+// others serve an old configuration and can't be told from those that have the
+// newest.
+func (n *Node) reportBehind() {
+	seen := &n.changes.behind
+	newest := n.config.Newest()
+	if newest != seen.version || !n.config.Behind() {
+		*seen = behindSeen{version: newest}
+		return
+	}
+	seen.looks++
+	if seen.looks == behindLooks {
+		n.log.Emit(observe.ConfigBehind, observe.Int64("version", int64(n.ConfigVersion())), observe.Int64("newest", int64(newest)))
+	}
 }
 
 func (n *Node) reportLevel() {
--- a/node/operations_test.go
+++ b/node/operations_test.go
@@ -42,11 +42,11 @@
 }
 
 // addLogged is addRouted with a log that can be read.
-func (f *fleet) addLogged(name, service string, h handler) (*Node, *logBuffer) {
+func (f *fleet) addLogged(name, service string, h handler, adjust ...func(*Settings)) (*Node, *logBuffer) {
 	out := &logBuffer{}
 	log, err := observe.NewLogger(observe.LoggerConfig{Output: out})
 	f.c.Assert(err, qt.IsNil)
-	n := f.addRouted(name, service, 10, h, func(s *Settings) { s.Log = log })
+	n := f.addRouted(name, service, 10, h, append(adjust, func(s *Settings) { s.Log = log })...)
 	return n, out
 }
 
--- a/node/sync.go
+++ b/node/sync.go
@@ -32,6 +32,12 @@
 	d.node.offerConfig(data, config.SourcePeer)
 }
 
+// NewestVersion implements membership.Delegate.
+func (d *gossipDelegate) NewestVersion() uint64 { return d.node.config.Newest() }
+
+// Hear implements membership.Delegate.
+func (d *gossipDelegate) Hear(version uint64) { d.node.config.Hear(version) }
+
 // offerConfig takes a configuration that is valid and higher, and passes the
 // news on.
 func (n *Node) offerConfig(data []byte, source config.Source) {
@@ -173,9 +179,11 @@
 func (n *Node) takeSpokenConfig(o objects.Object) {
 	set, err := n.settings.Dialect.DecodeConfig(o.Value)
 	if err != nil {
+		n.config.HearUnreadable()
 		n.noteOffer(false, err)
 		return
 	}
+	n.config.Hear(set.Version)
 	n.noteOffer(n.config.OfferSet(set, config.SourcePlatform))
 }
 
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -77,6 +77,7 @@
 	n.metrics.Draining.Update(boolGauge(n.draining.Load()))
 	n.metrics.ConfigAge.Update(n.now().Sub(time.Unix(0, n.configSince.Load())).Seconds())
 	n.metrics.ConfigVersion.Update(int64(n.config.Status().Version))
+	n.metrics.ConfigNewest.Update(int64(n.config.Newest()))
 	keys := n.keyCounts()
 	n.metrics.Keys.With("running").Update(int64(keys.Running))
 	n.metrics.Keys.With("done").Update(int64(keys.Done))
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -42,7 +42,9 @@
 	Members                     Gauges
 	GossipBytes, GossipMessages Counters
 
-	ConfigVersion metrics.Gauge
+	// ConfigNewest is the highest version known of, in force or not.
+	ConfigVersion, ConfigNewest metrics.Gauge
+
 	ConfigAge     metrics.GaugeFloat64
 	PlatformCalls Counters
 	PlatformTime  Histograms
@@ -124,6 +126,7 @@
 	m.GossipBytes = m.counters(gossipBytesMetric)
 	m.GossipMessages = m.counters(gossipMessagesMetric)
 	m.ConfigVersion = m.gauges(configVersionMetric).With()
+	m.ConfigNewest = m.gauges(configNewestMetric).With()
 	m.ConfigAge = m.floatGauges(configAgeMetric).With()
 	m.PlatformCalls = m.counters(platformCallsMetric)
 	m.PlatformTime = m.histograms(platformTimeMetric)
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -72,6 +72,7 @@
 // Configuration and platform.
 var (
 	configVersionMetric = define("pollengauge_config_version", GaugeKind, unitCount, "Configuration version in force.")
+	configNewestMetric  = define("pollengauge_config_newest_version", GaugeKind, unitCount, "Highest configuration version known to exist; above the one in force where that one is refused or still on its way.")
 	configAgeMetric     = define("pollengauge_config_age_seconds", GaugeKind, unitSeconds, "Time since the version in force was accepted on this node.")
 	platformCallsMetric = define("pollengauge_platform_calls_total", CounterKind, unitCount, "Calls to the platform, a waiting watch as one.", "op", "result")
 	platformTimeMetric  = define("pollengauge_platform_call_seconds", HistogramKind, unitSeconds, "Time that calls to the platform took, watches left out.", "op")
