config, membership, node: nodes take every configuration that was accepted, whatever its size

Cause: nodes checked an accepted set by the bounds of submitting one. 2822 routes are more than MaxRoutes, so the nodes that watch the platform refused the version and all later ones (event 2002), and the others never heard of it. Behind it stood MaxEncoded (the third growth is over 512 KiB) and the largest payload between members (1 MiB). The class: a consumer's bound below what the writer accepts. Change: Validate, for parse and apply, keeps all bounds; a node checks only what it needs to put a set in force. Payloads between members up to 16 MiB, in replies only; requests keep their bound. A route without a share above 0 is answered 503, not run, in place of a draw that could not end. Why it holds: nothing that counts or measures a set is left between the platform and a node but MaxHeld, 16 times what the platform stores in one object.

--- /dev/null
+++ b/config/accepted_test.go
@@ -0,0 +1,49 @@
+package config_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/config"
+)
+
+// A set is over a bound of this build that the one which accepted it did not
+// have. Refused by nodes, it would be missing on all of them, and so would every
+// later version; refused where it is submitted, its operator is told.
+func TestNodesTakeWhatIsOverTheBoundsOfSubmitting(t *testing.T) {
+	c := qt.New(t)
+	set := routedSet()
+	for i := range 2 * config.MaxRoutes {
+		name := "customer-" + strconv.Itoa(i)
+		set.Routes = append(set.Routes, config.Route{
+			Name: strings.Repeat("x", 2*config.MaxPathLength), Host: "h.example", PathPrefix: "/" + name + "/", Profile: "read", Shares: to("s"),
+		})
+	}
+	for i := range 2 * config.MaxProfiles {
+		set.Profiles = append(set.Profiles, config.NewProfile("p"+strconv.Itoa(i), 1))
+	}
+	set.Version = 7
+	c.Check(config.Validate(set), qt.ErrorAs, new(*config.ValidationError))
+
+	watching := config.NewStore()
+	accepted, err := watching.OfferSet(set, config.SourcePlatform)
+	c.Assert(err, qt.IsNil)
+	c.Check(accepted, qt.IsTrue)
+	_, encoded := watching.Encoded()
+	c.Check(len(encoded) > config.MaxEncoded, qt.IsTrue)
+	hearing := config.NewStore()
+	accepted, err = hearing.Offer(encoded, config.SourcePeer)
+	c.Assert(err, qt.IsNil)
+	c.Check(accepted, qt.IsTrue)
+	c.Check(hearing.Current().Route("h.example", "/customer-4000/x"), qt.IsNotNil)
+}
+
+// A peer that sends without end must not fill a node's memory.
+func TestEndlessSetsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	_, err := config.NewStore().Offer(make([]byte, config.MaxHeld+1), config.SourcePeer)
+	c.Check(err, qt.ErrorAs, new(*config.EncodingError))
+}
--- a/config/document.go
+++ b/config/document.go
@@ -101,7 +101,7 @@
 	if err := onlyKnownFields(stored.Set); err != nil {
 		return Document{}, &EncodingError{Want: "a set with the fields of this build", Cause: err}
 	}
-	if err := Validate(d.Set); err != nil {
+	if err := usable(d.Set); err != nil {
 		return Document{}, err
 	}
 	return d, nil
@@ -166,7 +166,7 @@
 }
 
 // fit drops the oldest Sets until the value fits into one object. Set and
-// changes alone always fit: 256 KiB and 64 records are below the limit.
+// changes alone always fit: MaxEncoded and 64 records are below the limit.
 func (d Document) fit() (Document, []byte, error) {
 	for {
 		value, err := marshal(d)
--- a/config/encode.go
+++ b/config/encode.go
@@ -9,19 +9,31 @@
 	"go.yaml.in/yaml/v3"
 )
 
-// MaxEncoded is the largest encoded Set in bytes. A Set travels whole in one
-// gossip message and, with its history, in one object of the platform.
-const MaxEncoded = 512 << 10
+const (
+	// MaxEncoded is the largest Set that operators may submit, encoded, in bytes.
+	// With its history it travels in one object of the platform.
+	MaxEncoded = 512 << 10
+	// MaxHeld is the largest encoding that a node takes and passes on, in bytes.
+	// It protects a node's memory from a peer that sends without end, and is many
+	// times what a platform holds in one object.
+	MaxHeld = 16 << 20
+)
 
-// Encode validates s and returns its canonical encoding: equal Sets give
-// equal bytes, and Decode takes nothing else.
+// Encode checks that s can be put in force and returns its canonical encoding:
+// equal Sets give equal bytes, and Decode takes nothing else.
 func Encode(s Set) ([]byte, error) {
-	if err := Validate(s); err != nil {
+	if err := usable(s); err != nil {
 		return nil, err
 	}
-	return marshal(s)
+	data, err := marshal(s)
+	if err == nil && len(data) > MaxHeld {
+		return nil, &EncodingError{Want: wantHeld}
+	}
+	return data, err
 }
 
+const wantHeld = "at most 16 MiB"
+
 func marshal(v any) ([]byte, error) {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -37,8 +49,8 @@
 // Sets. Symptom: one version, two behaviours. Requiring that the Set encodes
 // to the very same bytes leaves one reading.
 func Decode(data []byte) (Set, error) {
-	if len(data) > MaxEncoded {
-		return Set{}, &EncodingError{Want: "at most 512 KiB"}
+	if len(data) > MaxHeld {
+		return Set{}, &EncodingError{Want: wantHeld}
 	}
 	var s Set
 	if err := json.Unmarshal(data, &s); err != nil {
--- a/config/route.go
+++ b/config/route.go
@@ -8,12 +8,11 @@
 
 // Bounds of Route.
 const (
-	// MaxRoutes is the most routes of a Set. Several hundred are added at once
-	// where each customer gets its own.
+	// MaxRoutes and MaxShares are the most entries of a list in a Set that
+	// operators submit; see Validate.
 	MaxRoutes = 2048
-	// MaxShares is the most services that one route may be split among.
 	MaxShares = 16
-	// MaxWeight bounds Share.Weight.
+	// MaxWeight bounds Share.Weight, so that sums of weights can't overflow.
 	MaxWeight = 1_000_000
 	// maxHostLength is the longest name of a host (RFC 1035), in bytes.
 	maxHostLength = 253
@@ -31,7 +30,8 @@
 	// PathPrefix begins and ends with a slash. It is compared byte for byte
 	// with the path as it came.
 	PathPrefix string `json:"pathPrefix" yaml:"pathPrefix"`
-	// Shares are the services and their weights, at least one.
+	// Shares are the services and their weights. A route without a share above
+	// 0 is there, and its requests can't be served.
 	Shares []Share `json:"shares" yaml:"shares"`
 	// Profile is the name of the profile.
 	Profile string `json:"profile" yaml:"profile"`
@@ -45,7 +45,7 @@
 }
 
 func (v *validator) routes(s Set) {
-	v.check(len(s.Routes) <= MaxRoutes, "routes", strconv.Itoa(len(s.Routes)), "at most "+strconv.Itoa(MaxRoutes)+" routes")
+	v.bound(len(s.Routes) <= MaxRoutes, "routes", strconv.Itoa(len(s.Routes)), "at most "+strconv.Itoa(MaxRoutes)+" routes")
 	profiles := make(map[string]bool, len(s.Profiles))
 	for _, p := range s.Profiles {
 		profiles[p.Name] = true
@@ -53,27 +53,27 @@
 	seen := make(map[routeKey]bool, len(s.Routes))
 	for i, r := range s.Routes {
 		at := "routes[" + strconv.Itoa(i) + "]"
-		v.check(r.Name != "" && len(r.Name) <= MaxPathLength && validText(r.Name), at+".name", r.Name, "1 to 256 bytes of text")
-		v.check(validHost(r.Host), at+".host", r.Host, "a host in lower case without a port")
-		v.check(validRoutePrefix(r.PathPrefix), at+".pathPrefix", r.PathPrefix, "a path of at most 256 bytes that begins and ends with /")
+		v.bound(r.Name != "" && len(r.Name) <= MaxPathLength && validText(r.Name), at+".name", r.Name, "1 to 256 bytes of text")
+		v.bound(validHost(r.Host), at+".host", r.Host, "a host in lower case without a port")
+		v.bound(validRoutePrefix(r.PathPrefix), at+".pathPrefix", r.PathPrefix, "a path of at most 256 bytes that begins and ends with /")
 		v.check(profiles[r.Profile], at+".profile", r.Profile, "the name of a profile")
 		v.shares(r.Shares, at+".shares")
 		key := routeKey{r.Host, r.PathPrefix}
-		v.check(!seen[key], at, r.Host+r.PathPrefix, "a host and prefix that no other route has")
+		v.bound(!seen[key], at, r.Host+r.PathPrefix, "a host and prefix that no other route has")
 		seen[key] = true
 	}
 }
 
 func (v *validator) shares(shares []Share, at string) {
-	v.check(len(shares) >= 1 && len(shares) <= MaxShares, at, strconv.Itoa(len(shares)), "1 to "+strconv.Itoa(MaxShares)+" services")
+	v.bound(len(shares) >= 1 && len(shares) <= MaxShares, at, strconv.Itoa(len(shares)), "1 to "+strconv.Itoa(MaxShares)+" services")
 	total := 0
 	for i, s := range shares {
 		place := at + "[" + strconv.Itoa(i) + "]"
-		v.check(validName(s.Service), place+".service", s.Service, wantName)
+		v.bound(validName(s.Service), place+".service", s.Service, wantName)
 		v.check(s.Weight >= 0 && s.Weight <= MaxWeight, place+".weight", strconv.Itoa(s.Weight), "0 to "+strconv.Itoa(MaxWeight))
 		total += max(s.Weight, 0)
 	}
-	v.check(total > 0, at, strconv.Itoa(total), "weights of which one is above 0")
+	v.bound(total > 0, at, strconv.Itoa(total), "weights of which one is above 0")
 }
 
 func validHost(s string) bool {
--- a/config/store.go
+++ b/config/store.go
@@ -129,7 +129,10 @@
 	if err != nil {
 		return false, err
 	}
-	return s.Offer(data, source)
+	if bytes.Equal(data, s.current.Load().encoded) {
+		return false, nil
+	}
+	return s.install(&accepted{compiled: compile(set, data), encoded: data, source: source})
 }
 
 // install compares and replaces under one lock.
--- a/config/validate.go
+++ b/config/validate.go
@@ -13,7 +13,7 @@
 	"pollengauge.dev/call"
 )
 
-// Bounds of a Set. They keep it small enough to travel whole.
+// Bounds of a Set that operators submit; see Validate.
 const (
 	// MaxProfiles, MaxAssignments and MaxVary are the most entries of a list.
 	MaxProfiles    = 256
@@ -55,11 +55,22 @@
 	wantText   = "at most 500 bytes of UTF-8 without control characters"
 )
 
-// Validate checks a Set and returns a *ValidationError with every problem,
-// or nil. Apply runs it before a change is stored and each node before a
-// change comes into force.
-func Validate(s Set) error {
-	v := &validator{}
+// Validate checks a Set that is to be submitted, and returns a *ValidationError
+// with every problem, or nil. Apply runs it before a change is stored.
+func Validate(s Set) error { return validate(s, true) }
+
+// usable checks what a node needs to put a Set in force that was accepted
+// elsewhere: by Apply, by another build, or by the platform. How many entries it
+// has and how long they are is no reason to refuse it.
+//
+// The failure: operators add customers until their routes are more than a bound
+// of this build. Every node refuses that version and all later ones, and answers
+// 404 on the new routes for good, though the platform has acknowledged them.
+// Bounds on submitting are enough, since their refusal reaches who can act on it.
+func usable(s Set) error { return validate(s, false) }
+
+func validate(s Set, submitted bool) error {
+	v := &validator{submitted: submitted}
 	v.header(s)
 	v.profiles(s.Profiles)
 	if !s.AnyOrder {
@@ -68,7 +79,7 @@
 	v.assignments(s)
 	v.routes(s)
 	v.limits(s.Limits)
-	if len(v.problems) == 0 {
+	if submitted && len(v.problems) == 0 {
 		v.size(s)
 	}
 	if len(v.problems) == 0 {
@@ -85,7 +96,14 @@
 }
 
 type validator struct {
-	problems []Problem
+	// submitted tells that the Set is to be submitted, so that bounds count.
+	submitted bool
+	problems  []Problem
+}
+
+// bound is check for what only a Set that is to be submitted must hold.
+func (v *validator) bound(ok bool, path, value, want string) {
+	v.check(ok || !v.submitted, path, value, want)
 }
 
 func (v *validator) check(ok bool, path, value, want string) {
@@ -96,16 +114,16 @@
 
 func (v *validator) header(s Set) {
 	v.check(s.Version <= MaxVersion, "version", strconv.FormatUint(s.Version, 10), "at most 2^53")
-	v.check(s.ChangeID == "" || call.ValidToken(s.ChangeID, MaxNameLength), "changeId", s.ChangeID, "at most 63 visible ASCII characters")
-	v.check(validText(s.Author), "author", s.Author, wantText)
-	v.check(validText(s.Comment), "comment", s.Comment, wantText)
+	v.bound(s.ChangeID == "" || call.ValidToken(s.ChangeID, MaxNameLength), "changeId", s.ChangeID, "at most 63 visible ASCII characters")
+	v.bound(validText(s.Author), "author", s.Author, wantText)
+	v.bound(validText(s.Comment), "comment", s.Comment, wantText)
 	_, offset := s.At.Zone()
 	year := s.At.Year()
 	v.check(offset == 0 && year >= 1 && year <= 9999, "at", s.At.String(), "a time in UTC")
 }
 
 func (v *validator) profiles(profiles []Profile) {
-	v.check(len(profiles) <= MaxProfiles, "profiles", strconv.Itoa(len(profiles)), "at most 256 profiles")
+	v.bound(len(profiles) <= MaxProfiles, "profiles", strconv.Itoa(len(profiles)), "at most 256 profiles")
 	seen := make(map[string]bool, len(profiles))
 	for i, p := range profiles {
 		at := "profiles[" + strconv.Itoa(i) + "]"
@@ -137,7 +155,7 @@
 	// A stored answer to a filing would tell its caller that this filing
 	// went out, when it was an earlier one that did.
 	v.check(b.MaxAge == 0 || !p.Unrepeatable, at+".maxAge", b.MaxAge.String(), "0s, because the profile is unrepeatable")
-	v.check(len(b.Vary) <= MaxVary, at+".vary", strconv.Itoa(len(b.Vary)), "at most 8 headers")
+	v.bound(len(b.Vary) <= MaxVary, at+".vary", strconv.Itoa(len(b.Vary)), "at most 8 headers")
 	for i, name := range b.Vary {
 		v.check(validHeader(name) && !slices.Contains(b.Vary[:i], name), at+".vary["+strconv.Itoa(i)+"]", name, wantHeader+", once")
 	}
@@ -171,7 +189,7 @@
 }
 
 func (v *validator) assignments(s Set) {
-	v.check(len(s.Assignments) <= MaxAssignments, "assignments", strconv.Itoa(len(s.Assignments)), "at most 1024 assignments")
+	v.bound(len(s.Assignments) <= MaxAssignments, "assignments", strconv.Itoa(len(s.Assignments)), "at most 1024 assignments")
 	names := make(map[string]bool, len(s.Profiles))
 	for _, p := range s.Profiles {
 		names[p.Name] = true
--- a/membership/config.go
+++ b/membership/config.go
@@ -76,7 +76,8 @@
 	// that lasts longer heals through the seeds. Default 30 min.
 	DeadRetention time.Duration
 
-	// MaxMessageBytes bounds a message in either direction. Default 2 MiB.
+	// MaxMessageBytes bounds a message in either direction, without the payload
+	// that a reply may carry. Default 2 MiB.
 	MaxMessageBytes int
 	// MaxPayloadBytes bounds the configuration payload. Default 1 MiB.
 	MaxPayloadBytes int
@@ -172,8 +173,8 @@
 	if c.SuspicionMult <= 0 {
 		return &ConfigError{Field: "SuspicionMult", Want: "more than 0"}
 	}
-	if c.MaxMessageBytes < c.MaxPayloadBytes+messageReserve {
-		return &ConfigError{Field: "MaxMessageBytes", Want: "MaxPayloadBytes and 64 KiB more"}
+	if c.MaxMessageBytes < minMessageBytes {
+		return &ConfigError{Field: "MaxMessageBytes", Want: "at least 64 KiB"}
 	}
 	return nil
 }
@@ -211,8 +212,11 @@
 	return nil
 }
 
-// messageReserve is the room for all but the payload in the longest message.
-const messageReserve = 64 << 10
+// minMessageBytes has room for a full round of rumors.
+const minMessageBytes = 64 << 10
+
+// maxReplyBytes bounds the answer to a request.
+func (c *Config) maxReplyBytes() int { return c.MaxMessageBytes + c.MaxPayloadBytes }
 
 // checkMutable checks the fields that Update may change.
 func checkMutable(m *Member) error {
--- a/membership/errors.go
+++ b/membership/errors.go
@@ -63,7 +63,8 @@
 // Unwrap returns the cause.
 func (e *TransportError) Unwrap() error { return e.Err }
 
-// OversizeError is a message longer than Config.MaxMessageBytes.
+// OversizeError is a message longer than Config.MaxMessageBytes, or a reply that
+// is longer than that and Config.MaxPayloadBytes together.
 type OversizeError struct{ Limit int }
 
 // Error implements error.
--- a/membership/server.go
+++ b/membership/server.go
@@ -115,7 +115,7 @@
 }
 
 func newServerCodec(g *Gossip, conn net.Conn) *serverCodec {
-	limited := newLimitedConn(conn, &g.cfg, &g.stats)
+	limited := newLimitedConn(conn, &g.cfg, &g.stats, g.cfg.MaxMessageBytes)
 	out := bufio.NewWriter(limited)
 	return &serverCodec{
 		cfg: &g.cfg, conn: limited, out: out,
--- a/membership/transport.go
+++ b/membership/transport.go
@@ -115,7 +115,7 @@
 	}
 	reply := new(Message)
 	heard := c.conn.reads.Load()
-	c.conn.allow(t.cfg.MaxMessageBytes)
+	c.conn.allow(t.cfg.maxReplyBytes())
 	call := c.client.Go(rpcMethod, m, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
@@ -186,7 +186,7 @@
 		d.err = &ClosedError{}
 		return
 	}
-	limited := newLimitedConn(conn, t.cfg, t.stats)
+	limited := newLimitedConn(conn, t.cfg, t.stats, t.cfg.maxReplyBytes())
 	d.client = &peerClient{client: rpc.NewClient(limited), conn: limited}
 	t.clients.Add(addr, d.client)
 }
@@ -236,8 +236,8 @@
 	left int
 }
 
-func newLimitedConn(conn net.Conn, cfg *Config, s *stats) *limitedConn {
-	return &limitedConn{Conn: conn, writeTimeout: cfg.ProbeTimeout, stats: s, left: cfg.MaxMessageBytes, max: cfg.MaxMessageBytes}
+func newLimitedConn(conn net.Conn, cfg *Config, s *stats, limit int) *limitedConn {
+	return &limitedConn{Conn: conn, writeTimeout: cfg.ProbeTimeout, stats: s, left: limit, max: limit}
 }
 
 // allow grants another n bytes to read, at most twice n in all.
--- a/node/members.go
+++ b/node/members.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
@@ -15,7 +16,7 @@
 
 // startMembership joins the gossip. The configuration travels with it.
 func (n *Node) startMembership(ctx context.Context) error {
-	config := membership.Config{
+	cfg := membership.Config{
 		Self: membership.Member{
 			ID:         n.id,
 			Service:    n.settings.Service,
@@ -29,12 +30,14 @@
 		Dial:     func(ctx context.Context, addr string) (net.Conn, error) { return n.between.Dial(ctx, addr) },
 		Seeds:    n.seeds,
 		Delegate: &gossipDelegate{node: n},
+		// What one node has in force, the others must be able to fetch.
+		MaxPayloadBytes: config.MaxHeld,
 	}
 	if n.spoken() {
-		config.TryLeft = true
-		config.HealInterval = healInDialect
+		cfg.TryLeft = true
+		cfg.HealInterval = healInDialect
 	}
-	gossip, err := membership.New(config)
+	gossip, err := membership.New(cfg)
 	if err != nil {
 		return err
 	}
--- a/node/routed.go
+++ b/node/routed.go
@@ -104,8 +104,14 @@
 	if route == nil {
 		return nil, n.refuse(call.NotRun, call.ReasonNoRoute, 0)
 	}
+	service := pickShare(route.Shares, rand.Uint64())
+	if service == "" {
+		// The route is there, so its callers may come back; operators have yet
+		// to name who serves it.
+		return nil, n.refuse(call.NotRun, call.ReasonNoTarget, unservedRetry)
+	}
 	profile := current.Profile(route.Profile)
-	req, err := n.readRequest(w, r, pickShare(route.Shares, rand.Uint64()), profile)
+	req, err := n.readRequest(w, r, service, profile)
 	if err != nil {
 		return nil, n.refuse(call.NotRun, n.noteBad(err), 0)
 	}
@@ -141,6 +147,10 @@
 // gets one within a round trip to the platform or a peer.
 const noConfigRetry = 250 * time.Millisecond
 
+// unservedRetry is the least Retry-After of a route that names no service: it
+// takes an operator's change to be served.
+const unservedRetry = time.Second
+
 // endRetry is the least Retry-After of a node that ends: its callers are on another
 // one by then.
 const endRetry = 50 * time.Millisecond
@@ -163,15 +173,16 @@
 
 // pickShare draws one of the services of a route, each with the probability of
 // its weight. What a service refuses is not moved to another: its share would
-// then not be the one that the operator set.
+// then not be the one that the operator set. It returns "" where no share is
+// above 0.
 func pickShare(shares []config.Share, random uint64) string {
-	if len(shares) == 1 {
-		return shares[0].Service
-	}
 	total := uint64(0)
 	for _, s := range shares {
 		total += uint64(s.Weight)
 	}
+	if total == 0 {
+		return ""
+	}
 	left := random % total
 	for _, s := range shares {
 		if left < uint64(s.Weight) {
@@ -179,7 +190,7 @@
 		}
 		left -= uint64(s.Weight)
 	}
-	return shares[0].Service
+	return ""
 }
 
 // maxHeldAnswer is the longest answer that the node beside the upstream holds
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -196,6 +196,15 @@
 	c.Check(counts["c"], qt.Equals, 0)
 }
 
+// Operators take the weight of a route's last part away, and the platform accepts
+// it. Its callers are told that nothing ran and when to come back; a draw among no
+// parts must not end in a panic, nor in a service that gets nothing.
+func TestRouteWithoutASharePicksNobody(t *testing.T) {
+	c := qt.New(t)
+	c.Check(pickShare(nil, 7), qt.Equals, "")
+	c.Check(pickShare([]config.Share{{Service: "a"}, {Service: "b"}}, 7), qt.Equals, "")
+}
+
 // An announcement of an incarnation that has crashed arrives after its
 // successor's. Taken for the present one, each call would be meant for an
 // incarnation that is gone, and be refused.
