--- a/config/route.go
+++ b/config/route.go
@@ -140,6 +140,21 @@
 	return nil
 }
 
+// Unserved returns how many routes have no share above 0, and the name of the first.
+func (c *Compiled) Unserved() (count int, first string) {
+	for i := range c.set.Routes {
+		r := &c.set.Routes[i]
+		if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Weight > 0 }) {
+			continue
+		}
+		if count == 0 {
+			first = r.Name
+		}
+		count++
+	}
+	return count, first
+}
+
 // Routed tells whether callers of this Set name hosts and paths.
 func (c *Compiled) Routed() bool { return len(c.set.Routes) > 0 }
 
--- a/config/route_test.go
+++ b/config/route_test.go
@@ -102,3 +102,16 @@
 	changed := routedSet(config.Route{Name: "r", Host: "h.example", PathPrefix: "/a/", Profile: "read", Shares: to("t")})
 	c.Check(config.FormatDiff(config.Diff(set, changed)), qt.Contains, "~ routes[h.example/a/].shares: s:90,t:10 -> t:1")
 }
+
+// Operators look for the routes whose requests nobody serves.
+func TestUnservedRoutesAreNamed(t *testing.T) {
+	c := qt.New(t)
+	route := func(name string, shares ...config.Share) config.Route {
+		return config.Route{Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Profile: "read", Shares: shares}
+	}
+	compiled, err := config.Compile(routedSet(route("a", to("s")...), route("b"), route("c", config.Share{Service: "s"})))
+	c.Assert(err, qt.IsNil)
+	count, first := compiled.Unserved()
+	c.Check(count, qt.Equals, 2)
+	c.Check(first, qt.Equals, "b")
+}
--- a/node/sync.go
+++ b/node/sync.go
@@ -66,6 +66,9 @@
 		n.configSince.Store(n.now().UnixNano())
 		status := n.config.Status()
 		n.log.Emit(observe.ConfigAccepted, observe.Int64("version", int64(status.Version)), observe.Str("source", string(status.Source)))
+		if count, first := n.config.Current().Unserved(); count > 0 {
+			n.log.Emit(observe.ConfigUnserved, observe.Int("routes", count), observe.Str("first", first))
+		}
 		n.gossip.Broadcast()
 	}
 }
--- a/observe/events.go
+++ b/observe/events.go
@@ -30,6 +30,7 @@
 	ConfigFork     = event(2003, "config-fork", Error, "Two different configurations carry the same version.", "Submit the wanted set again, which gives it a higher version.")
 	ConfigDefault  = event(2004, "config-default", Warn, "No configuration was heard; the built-in default is in force.", "Check the platform and the addresses of peers.")
 	ConfigBehind   = event(2005, "config-behind", Warn, "A later configuration version is known to exist and has not been in force on this node for seconds.", "Look for config-refused on the nodes that watch the platform; without one, see which members this node reaches.")
+	ConfigUnserved = event(2006, "config-unserved", Warn, "Routes of the configuration in force name no service that this build can read; their requests are refused as not run.", "Correct the named route, or bring the nodes to the build that knows its form.")
 )
 
 // Membership.
