node, call, observe: a missing route is no last word while a later configuration is known

Callers on a route that operators had just added were told 404 by nodes that had heard of the version and not got it yet, or had refused it, and never asked again. Cause: a node answered from the version in force alone, though it knew that it was not the newest; nothing counted or logged such requests. Change: while a later version is known to exist, a request without a route is refused as not run and told to come back (config-behind); pollengauge_unrouted_total counts both answers. Holds for every way to be behind: a refused or unreadable version, one on its way, and nodes that only hear of it from others. A node that has heard of nothing still answers 404. TestMissingRouteIsNotFinalWhileBehind fails without the choice (no-route at both nodes).

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -112,6 +112,9 @@
 	ReasonBusy Reason = "busy"
 	// ReasonNoConfig: the node knows no configuration yet.
 	ReasonNoConfig Reason = "no-config"
+	// ReasonConfigBehind: no route has the request's host and path here, and a
+	// later configuration than the node's is known to exist.
+	ReasonConfigBehind Reason = "config-behind"
 	// ReasonNoRoute: no route has the request's host and path.
 	ReasonNoRoute Reason = "no-route"
 	// ReasonNotBelieved: an answer came that can't be the upstream's answer to
--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -52,3 +52,33 @@
 		f.c.Check(has(log.lines("config-behind"), "version=1", "newest=2"), qt.IsTrue)
 	})
 }
+
+// Operators add a route, and this node hears that there is a later version before
+// it has it, or can't read it at all. A caller on the new route is told that there
+// is no such route, and never asks again. It must be told to come back, until the
+// version in force is the newest known.
+func TestMissingRouteIsNotFinalWhileBehind(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		watching := f.addRouted("watching", "desk", 10, echo)
+		hearing := f.addRouted("hearing", "desk", 10, echo, withoutPlatform)
+		nodes := []*Node{watching, hearing}
+		f.settle()
+		f.c.Check(f.askRouted(hearing, "/nowhere/x", "a").reason, qt.Equals, "no-route")
+		f.storeUnreadable()
+		time.Sleep(5 * time.Second)
+		for _, n := range nodes {
+			missing := f.askRouted(n, "/nowhere/x", "b")
+			f.c.Check(missing.reason, qt.Equals, "config-behind")
+			f.c.Check(missing.header.Get("X-After"), qt.Not(qt.Equals), "0")
+			f.c.Check(f.askRouted(n, "/browse/x", "c").status, qt.Equals, 200)
+			f.c.Check(n.metrics.Unrouted.With("config-behind").Count(), qt.Equals, int64(1))
+		}
+		next, err := config.Parse([]byte(strings.Replace(routedSet, "version: 1", "version: 2", 1)), config.YAML)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(watching.OfferConfig(next), qt.IsNil)
+		f.settle()
+		for _, n := range nodes {
+			f.c.Check(f.askRouted(n, "/nowhere/x", "d").reason, qt.Equals, "no-route")
+		}
+	})
+}
--- a/node/routed.go
+++ b/node/routed.go
@@ -102,7 +102,7 @@
 	current := n.config.Current()
 	route := current.Route(hostOf(r.Host), rawPath(r))
 	if route == nil {
-		return nil, n.refuse(call.NotRun, call.ReasonNoRoute, 0)
+		return nil, n.refuseUnrouted()
 	}
 	service := pickShare(route.Shares, rand.Uint64())
 	if service == "" {
@@ -135,6 +135,24 @@
 	return req, nil
 }
 
+// refuseUnrouted refuses a request for which the configuration in force has no
+// route. While a later one is known to exist, that is not the last word.
+//
+// The failure: operators add a route, and a node that has not got the version yet,
+// or refuses it, answers that there is no such route. Callers take that for final.
+func (n *Node) refuseUnrouted() *answer {
+	reason, retry := call.ReasonNoRoute, time.Duration(0)
+	if n.config.Behind() {
+		reason, retry = call.ReasonConfigBehind, behindRetry
+	}
+	n.metrics.Unrouted.With(string(reason)).Inc(1)
+	return n.refuse(call.NotRun, reason, retry)
+}
+
+// behindRetry is the least Retry-After of a node that lacks a version: a peer has
+// it within a few messages.
+const behindRetry = 250 * time.Millisecond
+
 // drawLevel places a request among those of its priority by chance. A dialect
 // does not tell callers apart: those of a VM share its address, and ranked by it
 // they would all crowd into a few levels, of which only whole ones can be
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -20,6 +20,7 @@
 	{call.ReasonPeerFull, "the calling node has as many calls at that node, or at all others, as it may", "Find the slow service at which the calls pile up; raise peer-conns if its slots allow more."},
 	{call.ReasonBusy, "the node had too little processor time for what came", "See whether the VM is slow, or its processor share too small for its traffic."},
 	{call.ReasonNoConfig, "the node knows no configuration yet", "See whether the node reaches the platform or a peer."},
+	{call.ReasonConfigBehind, "the node has no route for it, and knows of a later configuration than its own", "Look for config-behind and config-refused; the caller was told to come back."},
 	{call.ReasonNoRoute, "no route of the configuration in force has the request's host and path", "Compare the request with the routes; config_version tells which set was in force."},
 	{call.ReasonNotBelieved, "an answer came that can't be the upstream's answer to this request", "Look at the upstream: it sends answers twice, late, or without its signature."},
 	{call.ReasonOtherInstance, "another incarnation of the upstream, or another VM, has the address", "None; it lasts until the next announcement."},
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -50,7 +50,7 @@
 	PlatformTime  Histograms
 
 	RootsWithoutContext, ForgedHeaders, Panics, Begun metrics.Counter
-	Malformed                                         Counters
+	Malformed, Unrouted                               Counters
 	Spans                                             Counters
 
 	// RetryBudgetLeft, ServiceLevel and ServiceLoad are by service.
@@ -136,6 +136,7 @@
 	m.RootsWithoutContext = m.counters(rootsMetric).With()
 	m.ForgedHeaders = m.counters(forgedMetric).With()
 	m.Malformed = m.counters(malformedMetric)
+	m.Unrouted = m.counters(unroutedMetric)
 	m.Panics = m.counters(panicsMetric).With()
 	m.Begun = m.counters(begunMetric).With()
 	m.Spans = m.counters(spansMetric)
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -193,7 +193,7 @@
 		call.ReasonVisitClosed, call.ReasonKeyExpired, call.ReasonKeyRequired,
 		call.ReasonKeyHomeGone, call.ReasonKeyUnclaimed, call.ReasonKeyReused,
 		call.ReasonAnswerNotHeld, call.ReasonBadRequest,
-		call.ReasonTooLarge, call.ReasonNoTarget, call.ReasonNoConfig, call.ReasonNoRoute:
+		call.ReasonTooLarge, call.ReasonNoTarget, call.ReasonNoConfig, call.ReasonConfigBehind, call.ReasonNoRoute:
 		return true
 	}
 	return false
