config, node: a look at the profiles does not copy all routes

Cause: each second, and for each status, a node copied its whole set to see the names of its profiles.

--- a/config/compiled.go
+++ b/config/compiled.go
@@ -155,6 +155,9 @@
 // Limits returns the Set's limits.
 func (c *Compiled) Limits() Limits { return c.set.Limits }
 
+// Profiles returns all profiles. They must not be changed.
+func (c *Compiled) Profiles() []Profile { return c.set.Profiles }
+
 // Set returns a copy of the Set.
 func (c *Compiled) Set() Set { return c.set.clone() }
 
--- a/node/changes.go
+++ b/node/changes.go
@@ -213,7 +213,7 @@
 const quietLooks = 5
 
 func (n *Node) reportProfiles() {
-	for _, p := range n.config.Current().Set().Profiles {
+	for _, p := range n.config.Current().Profiles() {
 		level := n.levelBelow(p.Name)
 		if raised := level > 0; raised != n.changes.below[p.Name] {
 			n.changes.below[p.Name] = raised
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -168,7 +168,7 @@
 		NoUpstream:    n.upstream.Load() == nil,
 		Keys:          n.keyCounts(),
 	}
-	for _, p := range n.config.Current().Set().Profiles {
+	for _, p := range n.config.Current().Profiles() {
 		n.metrics.Profile(p.Name).LevelBelow.Update(int64(n.levelBelow(p.Name)))
 		status.Profiles = append(status.Profiles, n.metrics.Profile(p.Name).Status())
 	}
