membership: a long configuration crosses a narrow link

Cause, found behind the refused configuration: a payload of 700 KB has one second for its transfer and half a second for its write. Over a link of 200 KB a second it was cut off and begun anew for ever (test: 3.0 MB carried in 15 s, nothing delivered), and each change of a grown configuration crosses the zones at full length. After: 700 KB of routes are there within 2.5 s and take less than a quarter of their bytes; 700 KB that can't be packed within 15 s.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -260,8 +260,7 @@
 	g.unlockAndPublish()
 	g.sign(reply)
 	if m.Kind == KindPull {
-		// The version must be that of the data, whatever came into force since.
-		reply.Version, reply.Data = g.payload(m.Version)
+		g.answerPull(reply, m)
 	}
 	g.afterMessage(from, m)
 	return reply, nil
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -37,6 +37,7 @@
 	// that spans one proves nothing.
 	pauses int
 	pull   pullState
+	packer packer
 	// ahead is a member that was seen to know far more, and is asked next.
 	ahead memberID
 	due   schedule
--- a/membership/message.go
+++ b/membership/message.go
@@ -91,6 +91,9 @@
 	// Version is the sender's configuration version, Data its payload (pull only).
 	Version uint64
 	Data    []byte
+	// Packed tells in a request that the sender can unpack Data, and in a reply
+	// that Data is packed.
+	Packed bool
 	// Newest is the highest version that the sender knows of, set where it is
 	// above Version: the sender has refused it, or not got it yet.
 	Newest uint64
--- a/membership/transport.go
+++ b/membership/transport.go
@@ -128,7 +128,8 @@
 		}
 		return nil, &TransportError{Addr: addr, Stage: "call", Err: call.Error}
 	case <-ctx.Done():
-		if c.conn.reads.Load() == heard {
+		// The rest of a payload would take the link from the next transfer.
+		if m.Kind == KindPull || c.conn.reads.Load() == heard {
 			t.drop(addr, c)
 		}
 		go func() {
@@ -266,12 +267,24 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// writePart is what has to go out within one write timeout, in bytes.
+const writePart = 16 << 10
+
+// Write implements net.Conn. Each part has the write timeout for itself: a peer
+// that stops reading is noticed as soon, and a long payload is not broken off since
+// the link is narrow.
 func (c *limitedConn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for written < len(p) {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(written+writePart, len(p))])
+		c.stats.bytesOut.Add(uint64(n))
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	n, err := c.Conn.Write(p)
-	c.stats.bytesOut.Add(uint64(n))
-	return n, err
+	return written, nil
 }
