node: answers to requests for a head alone are whole

Cause: with a dialect, the node beside the upstream reads an answer of known length to its end before it sends it on. The answer to HEAD names the length of a body that doesn't come, so the read ended early, and each such answer was taken for a broken one: 502, and a repeat where the request may run twice.

Change: the answer to HEAD is passed on by its head.

Run: TestAnswersToHeadRequestsAreWhole failed before (502, truncated), passes now; go test ./node.

--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -40,6 +40,10 @@
 
 // completeHeld passes on the upstream's answer once it is whole.
 func (l *localCall) completeHeld(resp *http.Response) *answer {
+	if l.request.method == http.MethodHead {
+		// The head names the length of a body that doesn't come.
+		return l.complete(resp, resp.Header)
+	}
 	body, whole, err := heldBody(resp)
 	if err != nil {
 		_ = resp.Body.Close()
