node, call: a body may take the time that operators give its route

Cause: the reading of a body was bounded by the node's own 30 s, though operators may give a request up to ten minutes. A longer upload was broken off midway (502), and one whose first part came slowly was answered as a bad request: 400, after which no caller comes back, for a request that nothing is wrong with.

Change: with a dialect the bound is the greater of body-timeout and the route's time. A body that has not come by then is refused as not run with reason timeout, 503 in the platform's form.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -82,7 +82,8 @@
 	ReasonConnect Reason = "connect"
 	// ReasonLost: the connection broke after the call was sent.
 	ReasonLost Reason = "lost"
-	// ReasonTimeout: the deadline passed after the call was dispatched.
+	// ReasonTimeout: the deadline passed after the call was dispatched, or before
+	// its body had come.
 	ReasonTimeout Reason = "timeout"
 	// ReasonTruncated: the upstream's answer ended early.
 	ReasonTruncated Reason = "truncated"
--- a/node/edge.go
+++ b/node/edge.go
@@ -204,7 +204,7 @@
 	body := &replayBody{}
 	if r.ContentLength != 0 {
 		var err error
-		if body, err = n.readRequestBody(w, r); err != nil {
+		if body, err = n.readRequestBody(w, r, n.bodyTimeout(profile)); err != nil {
 			return nil, err
 		}
 	}
@@ -220,10 +220,20 @@
 	}, nil
 }
 
+// bodyTimeout bounds the reading of one request body. Operators of a dialect
+// give a request its time; the node's own bound may not be shorter, or an upload
+// that they allow is broken off.
+func (n *Node) bodyTimeout(profile *config.Profile) time.Duration {
+	if n.spoken() {
+		return max(n.settings.BodyTimeout, time.Duration(profile.Deadline))
+	}
+	return n.settings.BodyTimeout
+}
+
 // readRequestBody reads the part of a body that is held for further attempts.
-func (n *Node) readRequestBody(w http.ResponseWriter, r *http.Request) (*replayBody, error) {
+func (n *Node) readRequestBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) (*replayBody, error) {
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(n.settings.BodyTimeout))
+	_ = controller.SetReadDeadline(time.Now().Add(timeout))
 	body, err := readBody(r.Body, r.ContentLength, n.settings.MaxReplayBytes)
 	if err != nil {
 		return nil, &BodyError{Cause: err}
--- a/node/notes.go
+++ b/node/notes.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log"
 	"net/http"
+	"os"
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
@@ -89,6 +90,9 @@
 		event = observe.TooLarge
 	case errors.As(err, new(*DepthError)):
 		event = observe.CallLoop
+	case n.spoken() && errors.Is(err, os.ErrDeadlineExceeded):
+		// A body that comes slowly is no fault in it: its caller may come back.
+		reason = call.ReasonTimeout
 	}
 	n.log.Emit(event, observe.Err(err))
 	n.metrics.Malformed.With(malformedRequest).Inc(1)
