call, node, platform: ids of calls are read at every depth

Cause: ids of 97 bytes and more were refused. An upstream makes the id of a call from that of the request that it serves, a dot and 16 digits, so the call five deep below a request with an id of 16 digits got 400, and every request above it failed.

Change: call.ReadID is the one place where ids are read, by the hop at which a request enters and by the next. Its bound is that of a call at the greatest depth (64) with a UUID for each hop, 2,464 bytes. Records, logs and traces keep at most 96 bytes, as before: the begin of a longer id, and a hash of it all. An id that a caller of the project's own interface brings still counts up to 96.

--- a/call/context.go
+++ b/call/context.go
@@ -89,9 +89,7 @@
 
 // Bounds on what headers may hold. Anything over them is refused.
 const (
-	// MaxIDLength and MaxKeyLength are the longest request id and idempotency
-	// key, in bytes.
-	MaxIDLength  = 96
+	// MaxKeyLength is the longest idempotency key, in bytes.
 	MaxKeyLength = 200
 	// MaxTimeout is the longest time that a call may have left.
 	MaxTimeout = 10 * time.Minute
@@ -198,7 +196,7 @@
 func Extract(h http.Header) (Context, error) {
 	var c Context
 	var err error
-	if c.RequestID, err = token(h, HeaderRequest, MaxIDLength); err != nil {
+	if c.RequestID, err = ReadID(h, HeaderRequest); err != nil {
 		return Context{}, err
 	}
 	if c.Profile, err = token(h, HeaderProfile, maxNameLength); err != nil {
--- /dev/null
+++ b/call/id_test.go
@@ -0,0 +1,49 @@
+package call
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Upstreams build the id of a call from that of its request, so ids grow with
+// the depth. From the fifth call below one another on, nodes refused them as bad
+// requests, and the requests above failed with them. An id has to be read at
+// every depth that there is, by both hops, and not without a bound.
+func TestIdsOfTheDeepestCallsAreRead(t *testing.T) {
+	c := qt.New(t)
+	for _, part := range []string{strings.Repeat("a", 16), strings.Repeat("u", 36)} {
+		id := strings.Repeat("r", KeptIDLength)
+		for depth := range MaxDepth {
+			id += "." + part
+			first, err := ReadID(http.Header{"X-Id": {id}}, "X-Id")
+			c.Assert(err, qt.IsNil, qt.Commentf("depth %d", depth+1))
+			h := http.Header{}
+			Context{RequestID: first, Profile: "filing"}.Inject(h)
+			next, err := Extract(h)
+			c.Assert(err, qt.IsNil, qt.Commentf("depth %d", depth+1))
+			c.Check(next.RequestID, qt.Equals, id)
+		}
+	}
+	for _, id := range []string{"", "a b", strings.Repeat("r", MaxIDLength+1)} {
+		_, err := ReadID(http.Header{"X-Id": {id}}, "X-Id")
+		c.Check(err, qt.ErrorAs, new(*HeaderError))
+	}
+}
+
+// Records are kept by the thousand and lines are written for each request. What
+// is kept of an id is short, the same at every hop, and another for another id.
+func TestKeptIdsAreShortAndDistinct(t *testing.T) {
+	c := qt.New(t)
+	root := strings.Repeat("r", KeptIDLength)
+	c.Check(KeptID("r1"), qt.Equals, "r1")
+	c.Check(KeptID(root), qt.Equals, root)
+	one, two := KeptID(root+".a"), KeptID(root+".b")
+	c.Check(one, qt.HasLen, KeptIDLength)
+	c.Check(one, qt.Not(qt.Equals), two)
+	c.Check(KeptID(root+".a"), qt.Equals, one)
+	c.Check(KeptID(one), qt.Equals, one)
+	c.Check(ValidToken(one, KeptIDLength), qt.IsTrue)
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/observe"
 )
@@ -171,7 +172,7 @@
 	if id == "" {
 		return nil, &SettingError{Name: "request", Value: id, Allowed: "a request id"}
 	}
-	return ExplainRequest{Request: id}, nil
+	return ExplainRequest{Request: call.KeptID(id)}, nil
 }
 
 const maxHops = 1000
--- a/node/ahead.go
+++ b/node/ahead.go
@@ -182,6 +182,6 @@
 	if target == 0 || float64(behind) < lateTurnShare*float64(target) {
 		return
 	}
-	n.log.Emit(observe.TurnAwaited, observe.Str("request", run.req.call.RequestID),
+	n.log.Emit(observe.TurnAwaited, observe.Str("request", call.KeptID(run.req.call.RequestID)),
 		observe.Dur("behind", behind), observe.Dur("took", n.now().Sub(run.begun)))
 }
--- a/node/edge.go
+++ b/node/edge.go
@@ -153,7 +153,7 @@
 		return nil, err
 	}
 	id := r.Header.Get(headerRequestID)
-	req.named = call.ValidToken(id, call.MaxIDLength)
+	req.named = call.ValidToken(id, call.KeptIDLength)
 	if !req.named {
 		id = n.newRequestID()
 	}
--- a/node/fates.go
+++ b/node/fates.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"pollengauge.dev/atmostonce"
+	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
 )
 
@@ -88,7 +89,7 @@
 		}
 		return FatesRequest{Claims: &part}, nil
 	case query.Get("request") != "":
-		id := query.Get("request")
+		id := call.KeptID(query.Get("request"))
 		return FatesRequest{Request: id, Filters: []atmostonce.Filter{{RequestID: id, Limit: maxHops}}}, nil
 	case query.Get("all") != "":
 		return FatesRequest{Filters: []atmostonce.Filter{{Limit: maxHops}}}, nil
--- a/node/unsettled.go
+++ b/node/unsettled.go
@@ -68,7 +68,7 @@
 		Key:     observe.RedactKey(req.key),
 		State:   atmostonce.StateUnknown.String(),
 		Reason:  string(reason),
-		Request: req.call.RequestID,
+		Request: call.KeptID(req.call.RequestID),
 		Profile: req.call.Profile,
 		Home:    home,
 		Since:   now,
