--- a/node/transport.go
+++ b/node/transport.go
@@ -8,12 +8,17 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"pollengauge.dev/config"
 )
 
 const (
-	idleConnTimeout   = 60 * time.Second
-	transportBuffer   = 8 << 10
-	maxResponseHeader = 64 << 10
+	idleConnTimeout = 60 * time.Second
+	transportBuffer = 8 << 10
+	// maxResponseHeader bounds the head of an answer, in bytes. Nothing tells what
+	// upstreams may send, and one that is too long here ends each try of a request
+	// as unknown: it is as long as the longest that operators can allow callers.
+	maxResponseHeader = config.MaxHeaderBytes
 )
 
 // newTransport returns a transport that never replays a request on its own.
