node, platform: the operators' header_bytes is the bound that callers meet

Cause: two bounds of the node's own stood before the operators': 32 KiB of head, and 128 fields. A configuration that allows more was in force, and requests within it got 413, after which no caller comes back.

--- a/node/callerlimits.go
+++ b/node/callerlimits.go
@@ -23,7 +23,9 @@
 func (n *Node) limitCaller(w http.ResponseWriter, r *http.Request) error {
 	limits := n.config.Current().Limits()
 	if limits.HeaderBytes > 0 {
-		if err := (headLimit{bytes: limits.HeaderBytes, fields: maxHeaderFields}).check(r); err != nil {
+		limit := n.headLimitOf(EdgeListener)
+		limit.bytes = limits.HeaderBytes
+		if err := limit.check(r); err != nil {
 			return err
 		}
 	}
--- a/node/guard.go
+++ b/node/guard.go
@@ -31,15 +31,22 @@
 	answerGrace = 5 * time.Second
 )
 
-// headLimit bounds the head of one request.
+// headLimit bounds the head of one request. No fields means as many as the bytes
+// hold.
 type headLimit struct{ bytes, fields int }
 
+// headLimitOf is the node's own bound. Where a dialect is spoken, operators bound
+// what callers send, and that by bytes alone: a head of many short fields is as
+// proper as one of a few long ones.
 func (n *Node) headLimitOf(listener Listener) headLimit {
 	limit := headLimit{bytes: n.settings.MaxHeaderBytes, fields: maxHeaderFields}
 	if listener == PeerListener {
 		limit.bytes += nodeHeaderBytes
 		limit.fields += nodeHeaderFields
 	}
+	if n.spoken() {
+		limit.fields = 0
+	}
 	return limit
 }
 
@@ -56,7 +63,7 @@
 	if size > l.bytes {
 		return &HeadError{What: "bytes", Got: size, Limit: l.bytes}
 	}
-	if fields > l.fields {
+	if l.fields > 0 && fields > l.fields {
 		return &HeadError{What: "fields", Got: fields, Limit: l.fields}
 	}
 	return nil
