call: a deadline that has passed is read as nothing left

Cause: the time left is taken just before a call is written to the next node. Where the process stands still between, it is below 0, and the next node refused the header: the caller got 400 for a request that was only late.

Change: Inject writes 0 to ten minutes, which is what Extract reads.

--- a/call/context.go
+++ b/call/context.go
@@ -155,7 +155,10 @@
 	h.Set(HeaderRequest, c.RequestID)
 	h.Set(HeaderProfile, c.Profile)
 	h.Set(HeaderLevel, strconv.Itoa(int(c.Level)))
-	h.Set(HeaderTimeout, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
+	// A deadline may pass before this line. Below 0, the header would be a broken
+	// one at the next hop, and the call a bad request.
+	left := min(max(c.Timeout, 0), MaxTimeout)
+	h.Set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set(HeaderCredit, strconv.Itoa(c.Credit))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	setOptional(h, HeaderHost, c.Host)
