--- a/node/upstream.go
+++ b/node/upstream.go
@@ -43,7 +43,8 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
-const maxSlots = 100_000
+// MaxSlots is the most slots, and connections, that an announcement can name.
+const MaxSlots = 100_000
 
 // check returns a *SettingsError that lists every wrong field.
 func (a Announcement) check(service string) error {
@@ -54,8 +55,8 @@
 	if _, _, err := net.SplitHostPort(a.Addr); err != nil {
 		c.add("addr", strconv.Quote(a.Addr), "host:port")
 	}
-	c.number("slots", a.Slots, 1, maxSlots)
-	c.number("connections", a.Connections, 0, maxSlots)
+	c.number("slots", a.Slots, 1, MaxSlots)
+	c.number("connections", a.Connections, 0, MaxSlots)
 	if a.ShedStatus != 0 {
 		c.number("shedStatus", a.ShedStatus, http.StatusBadRequest, maxStatus)
 	}
