--- /dev/null
+++ b/node/names.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"strconv"
+	"strings"
+
+	"pollengauge.dev/call"
+)
+
+const maxName = 63
+
+// validName reports whether s can name a service, a zone or a region: 1 to 63
+// of a-z, 0-9 and -, not - at an end. Every call out is checked by it.
+func validName(s string) bool {
+	if s == "" || len(s) > maxName || s[0] == '-' || s[len(s)-1] == '-' {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *checker) name(name, value string) {
+	if !validName(value) {
+		c.add(name, strconv.Quote(value), "1 to 63 of a-z, 0-9 and -, not - at an end")
+	}
+}
+
+// names checks how this VM is called. With a dialect the names are those of its
+// platform, which has rules of its own: refused for their form, they would end
+// the process at its start.
+func (c *checker) names(s Settings) {
+	if s.Dialect == nil {
+		c.name("service", s.Service)
+		c.name("zone", s.Zone)
+		c.name("region", s.Region)
+		return
+	}
+	if !isHostName(s.Service) {
+		c.add("service", strconv.Quote(s.Service), "1 to 63 of letters, digits and -._~")
+	}
+	for _, place := range []struct{ name, value string }{{"zone", s.Zone}, {"region", s.Region}} {
+		if !call.ValidToken(place.value, maxName) {
+			c.add(place.name, strconv.Quote(place.value), "1 to 63 visible ASCII characters")
+		}
+	}
+}
+
+// isHostName reports whether a service of that name can be the Host of a call
+// between nodes: unreserved characters (RFC 3986, 2.3).
+func isHostName(s string) bool {
+	return call.ValidToken(s, maxName) && !strings.ContainsFunc(s, func(r rune) bool {
+		letter := (r|0x20) >= 'a' && (r|0x20) <= 'z'
+		return !letter && (r < '0' || r > '9') && !strings.ContainsRune("-._~", r)
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -16,7 +16,8 @@
 // assignments) lives in the platform instead.
 type Settings struct {
 	// Service is the service whose upstream runs on this VM, 1 to 63 of
-	// [a-z0-9-]. Calls from other services name it.
+	// [a-z0-9-], with a Dialect of letters, digits and -._~. Calls from other
+	// services name it.
 	Service string
 	// Zone is this VM's availability zone and Region its region. Routing
 	// stays inside the zone first, then inside the region.
@@ -173,29 +174,10 @@
 	}
 }
 
-const maxName = 63
-
-// validName reports whether s can name a service, a zone or a region: 1 to 63
-// of a-z, 0-9 and -, not - at an end. Every call out is checked by it.
-func validName(s string) bool {
-	if s == "" || len(s) > maxName || s[0] == '-' || s[len(s)-1] == '-' {
-		return false
-	}
-	for i := range len(s) {
-		c := s[i]
-		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
-			return false
-		}
-	}
-	return true
-}
-
 // Check returns a *SettingsError that lists every wrong setting, or nil.
 func (s Settings) Check() error {
 	var c checker
-	c.name("service", s.Service)
-	c.name("zone", s.Zone)
-	c.name("region", s.Region)
+	c.names(s)
 	if s.Dialect == nil || s.Edge != "" {
 		c.address("edge", s.Edge)
 	}
@@ -241,12 +223,6 @@
 	return &SettingsError{Problems: c.problems}
 }
 
-func (c *checker) name(name, value string) {
-	if !validName(value) {
-		c.add(name, strconv.Quote(value), "1 to 63 of a-z, 0-9 and -, not - at an end")
-	}
-}
-
 func (c *checker) address(name, value string) {
 	_, port, err := net.SplitHostPort(value)
 	if err == nil {
