node: a caller's Idempotency-Key is a header like any other in a dialect

Cause: a node read the key of the project's own interface from every call of another node. With a dialect no call has a key, and callers may use the header as they like; one of two words, or of more than 200 bytes, was refused by the next node as a bad request, and counted as of unknown fate: 502.

Change: with a dialect the key is not read.

Run: TestKeysOfCallersAreOnlyHeaders failed before, passes now. TestProperFormsOfAnswersReachTheCaller (interim answers, no length, trailers) passed before too, and stays.

--- a/node/notes.go
+++ b/node/notes.go
@@ -62,11 +62,12 @@
 // writeBad answers a request that can't be understood. Nothing was run.
 //
 // That is no proof for a key: an earlier presentation may have run it, and
-// this one ended before the table was asked. Then the outcome is unknown.
+// this one ended before the table was asked. Then the outcome is unknown. With a
+// dialect no call has a key; the header is one of the caller's own.
 func (n *Node) writeBad(w http.ResponseWriter, r *http.Request, err error) {
 	reason := n.noteBad(err)
 	outcome := call.NotRun
-	if r.Header.Get(call.HeaderIdempotencyKey) != "" {
+	if !n.spoken() && r.Header.Get(call.HeaderIdempotencyKey) != "" {
 		outcome = call.Unknown
 	}
 	a := n.refuse(outcome, reason, 0)
--- a/node/peer.go
+++ b/node/peer.go
@@ -55,9 +55,11 @@
 		return
 	}
 	req.span = n.startSpan(r.Header)
-	if req.key, err = keyOf(r.Header); err != nil {
-		n.writeBad(w, r, err)
-		return
+	if !n.spoken() {
+		if req.key, err = keyOf(r.Header); err != nil {
+			n.writeBad(w, r, err)
+			return
+		}
 	}
 	req.call = c
 	req.deadline = n.now().Add(c.Timeout)
