objects: a watch whose answer is too long lists again

Cause: the events since a watcher's revision can be longer than what a client reads of one answer (16 MB), as after a cut during changes of a configuration of a megabyte. Asked for from the same revision they are so at each try, and the node knew of no later change until it started anew.

Change: the watcher lists, as where the events are gone; a list has the newest state alone.

Run: TestWatcherCatchesUpWithMoreThanAnAnswerHolds failed before, passes now; go test ./objects.

--- a/objects/watcher.go
+++ b/objects/watcher.go
@@ -13,7 +13,7 @@
 
 // Watcher keeps a handler told of all objects of one kind: it lists, watches
 // from the list's revision, and lists again when the platform no longer has
-// the events. Run may be called once.
+// the events, or has more than one answer holds. Run may be called once.
 //
 // The handler runs on Run's goroutine, one event at a time. For each object
 // it sees ascending revisions only, whatever is delivered twice, late or out
@@ -125,7 +125,9 @@
 	if err == nil || ctx.Err() != nil {
 		return 0
 	}
-	if compacted := (*CompactedError)(nil); errors.As(err, &compacted) {
+	// Events that are gone, or too many for one answer, are so at each try from the
+	// same revision. A list has the newest state of each object alone.
+	if errors.As(err, new(*CompactedError)) || errors.As(err, new(*TooLargeError)) {
 		r.listed = false
 	}
 	if r.OnError != nil {
--- a/objects/watcher_test.go
+++ b/objects/watcher_test.go
@@ -130,3 +130,52 @@
 		c.Assert(news.Load(), qt.Equals, int64(2*560))
 	})
 }
+
+// shortAnswers is a store whose watches answer with few events at most; those
+// with more are longer than what a client reads.
+type shortAnswers struct {
+	objects.Store
+	most int
+}
+
+func (s *shortAnswers) Watch(ctx context.Context, kind string, from uint64) ([]objects.Event, uint64, error) {
+	events, next, err := s.Store.Watch(ctx, kind, from)
+	if err == nil && len(events) > s.most {
+		return nil, 0, &objects.TooLargeError{What: "answer", Limit: int64(s.most)}
+	}
+	return events, next, err
+}
+
+// A node is cut off while operators change a large configuration again and again.
+// The changes that it missed are together longer than any answer that it reads, and
+// asked for from the same point they stay so: it knew of no later change, until it
+// was started anew. The newest state is all that it needs.
+func TestWatcherCatchesUpWithMoreThanAnAnswerHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		memory := standin.NewMemory()
+		ctx, cancel := context.WithCancel(background)
+		defer cancel()
+		o, err := memory.Create(background, "config", "main", []byte("v0"))
+		c.Assert(err, qt.IsNil)
+		got := newReplica(c)
+		watcher := &objects.Watcher{Store: &shortAnswers{Store: memory, most: 3}, Kind: "config", Handle: got.handle}
+		done := make(chan struct{})
+		go func() {
+			watcher.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(time.Second)
+		for _, changes := range []int{20, 1} {
+			for i := range changes {
+				o.Value = fmt.Appendf(nil, "v%d of %d", i, changes)
+				o, err = memory.Update(background, o)
+				c.Assert(err, qt.IsNil)
+			}
+			time.Sleep(10 * time.Second)
+		}
+		cancel()
+		<-done
+		c.Check(got.values, qt.DeepEquals, map[string]string{"main": "v0 of 1"})
+	})
+}
