node: ids that don't grow keep their bound in the project's own interface

Cause: since ids of calls are read at every depth, the peer listener took ids up to 2,464 bytes in the project's own interface too, where a root gives at most 96 and keys keep them.

Change: without a dialect a node refuses a longer id than a root can give, as before.

--- a/node/keyed.go
+++ b/node/keyed.go
@@ -65,7 +65,7 @@
 func (n *Node) presentation(req *request) atmostonce.Presentation {
 	p := atmostonce.Presentation{
 		Key:         req.key,
-		RequestID:   call.KeptID(req.call.RequestID),
+		RequestID:   req.call.RequestID,
 		Profile:     req.call.Profile,
 		Fingerprint: fingerprint(req),
 		Durable:     req.profile.Record == config.RecordClaim,
--- a/node/peer.go
+++ b/node/peer.go
@@ -28,7 +28,7 @@
 		n.writeBad(w, r, err)
 		return
 	}
-	c, err := call.Extract(r.Header)
+	c, err := n.extract(r.Header)
 	if err != nil {
 		n.writeBad(w, r, err)
 		return
@@ -88,6 +88,17 @@
 	}
 }
 
+// extract reads the context of a call. Only in a dialect do ids grow with the depth
+// of a call; elsewhere an id is one that a root gave, and its records are kept.
+func (n *Node) extract(h http.Header) (call.Context, error) {
+	c, err := call.Extract(h)
+	if err == nil && !n.spoken() && len(c.RequestID) > call.KeptIDLength {
+		want := "at most " + strconv.Itoa(call.KeptIDLength) + " characters"
+		return call.Context{}, &call.HeaderError{Header: call.HeaderRequest, Value: c.RequestID, Want: want}
+	}
+	return c, err
+}
+
 // writePeerRefusal tells another node of a refusal that needs no decision.
 func (n *Node) writePeerRefusal(w http.ResponseWriter, c call.Context, a *answer) {
 	if err := writeAnswer(w, a); err != nil {
--- a/node/witness.go
+++ b/node/witness.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"pollengauge.dev/atmostonce"
-	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
@@ -81,7 +80,7 @@
 	member, cause := n.witnessFor(req, now)
 	note, ok := n.witnesses.noted.Add(atmostonce.Note{
 		Key:     observe.RedactKey(req.key),
-		Request: call.KeptID(req.call.RequestID),
+		Request: req.call.RequestID,
 		Profile: req.call.Profile,
 		Since:   now,
 		Expires: now.Add(n.settings.KeyWindow),
