node: names of a platform carry calls between nodes

Cause: the settings take a platform's names now, and the table of keys still refused a service with other characters than a-z, 0-9 and -, which ended the node's start.

Change: with a dialect, where no call has a key, the table is made without the name.

Run: TestNamesOfAPlatformCarryCalls (four services, two nodes) failed before at the start, passes now.

--- a/node/names.go
+++ b/node/names.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
 )
 
@@ -50,6 +51,15 @@
 	}
 }
 
+// keyService is the service in the keys of this node. With a dialect no call has a
+// key, and its names need not be such as keys can hold.
+func (n *Node) keyService() string {
+	if n.spoken() && !atmostonce.ValidService(n.settings.Service) {
+		return "dialect"
+	}
+	return n.settings.Service
+}
+
 // isHostName reports whether a service of that name can be the Host of a call
 // between nodes: unreserved characters (RFC 3986, 2.3).
 func isHostName(s string) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -198,7 +198,7 @@
 // buildKeys makes the table of idempotency keys and its hand-over.
 func (n *Node) buildKeys() error {
 	cfg := atmostonce.Config{
-		Service:        n.settings.Service,
+		Service:        n.keyService(),
 		Incarnation:    atmostonce.Incarnation(n.id),
 		MaxEntries:     n.settings.KeyEntries,
 		MaxAnswerBytes: int64(n.settings.MaxAnswerBytes),
