--- a/call/context.go
+++ b/call/context.go
@@ -89,9 +89,7 @@
 
 // Bounds on what headers may hold. Anything over them is refused.
 const (
-	// MaxIDLength and MaxKeyLength are the longest request id and idempotency
-	// key, in bytes.
-	MaxIDLength  = 96
+	// MaxKeyLength is the longest idempotency key, in bytes.
 	MaxKeyLength = 200
 	// MaxTimeout is the longest time that a call may have left.
 	MaxTimeout = 10 * time.Minute
@@ -157,7 +155,10 @@
 	h.Set(HeaderRequest, c.RequestID)
 	h.Set(HeaderProfile, c.Profile)
 	h.Set(HeaderLevel, strconv.Itoa(int(c.Level)))
-	h.Set(HeaderTimeout, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
+	// A deadline may pass before this line. Below 0, the header would be a broken
+	// one at the next hop, and the call a bad request.
+	left := min(max(c.Timeout, 0), MaxTimeout)
+	h.Set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set(HeaderCredit, strconv.Itoa(c.Credit))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	setOptional(h, HeaderHost, c.Host)
@@ -198,7 +199,7 @@
 func Extract(h http.Header) (Context, error) {
 	var c Context
 	var err error
-	if c.RequestID, err = token(h, HeaderRequest, MaxIDLength); err != nil {
+	if c.RequestID, err = ReadID(h, HeaderRequest); err != nil {
 		return Context{}, err
 	}
 	if c.Profile, err = token(h, HeaderProfile, maxNameLength); err != nil {
--- a/node/notes.go
+++ b/node/notes.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log"
 	"net/http"
+	"os"
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
@@ -29,7 +30,7 @@
 	n.noteUnsettled(req, a.report.Reason, a.home)
 	n.metrics.UnknownFates.With(string(a.report.Reason)).Inc(1)
 	n.log.Emit(observe.UnknownOutcome,
-		observe.Str("request", req.call.RequestID),
+		observe.Str("request", call.KeptID(req.call.RequestID)),
 		observe.Str("profile", req.call.Profile),
 		observe.Str("reason", string(a.report.Reason)),
 		observe.Str("hop", a.report.Hop),
@@ -38,7 +39,7 @@
 
 // noteAbort reports an answer that could not be finished.
 func (n *Node) noteAbort(req *request, err error) {
-	n.log.Emit(observe.AnswerAborted, observe.Str("request", req.call.RequestID), observe.Err(err))
+	n.log.Emit(observe.AnswerAborted, observe.Str("request", call.KeptID(req.call.RequestID)), observe.Err(err))
 }
 
 // upstreamChanged reports a new or changed upstream.
@@ -61,11 +62,12 @@
 // writeBad answers a request that can't be understood. Nothing was run.
 //
 // That is no proof for a key: an earlier presentation may have run it, and
-// this one ended before the table was asked. Then the outcome is unknown.
+// this one ended before the table was asked. Then the outcome is unknown. With a
+// dialect no call has a key; the header is one of the caller's own.
 func (n *Node) writeBad(w http.ResponseWriter, r *http.Request, err error) {
 	reason := n.noteBad(err)
 	outcome := call.NotRun
-	if r.Header.Get(call.HeaderIdempotencyKey) != "" {
+	if !n.spoken() && r.Header.Get(call.HeaderIdempotencyKey) != "" {
 		outcome = call.Unknown
 	}
 	a := n.refuse(outcome, reason, 0)
@@ -89,6 +91,9 @@
 		event = observe.TooLarge
 	case errors.As(err, new(*DepthError)):
 		event = observe.CallLoop
+	case n.spoken() && errors.Is(err, os.ErrDeadlineExceeded):
+		// A body that comes slowly is no fault in it: its caller may come back.
+		reason = call.ReasonTimeout
 	}
 	n.log.Emit(event, observe.Err(err))
 	n.metrics.Malformed.With(malformedRequest).Inc(1)
