livedial: a module of its own

Cause: objects/livedial opens TCP connections and knows nothing of objects, yet node reached into the objects module for it. Change: moved as it was to the module livedial; objects and node import it there. No change of behaviour. Run: go test ./livedial ./objects ./node/... passes, vet clean.

--- a/node/conn.go
+++ b/node/conn.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"pollengauge.dev/objects/livedial"
+	"pollengauge.dev/livedial"
 )
 
 // Network is how a node listens and dials. Tests pass an in-memory one; the
--- a/objects/exchange.go
+++ b/objects/exchange.go
@@ -9,7 +9,7 @@
 	"net/http/httptrace"
 	"time"
 
-	"pollengauge.dev/objects/livedial"
+	"pollengauge.dev/livedial"
 )
 
 const (
