proof/layers: a check of which module imports which

Cause: the order of modules was a habit that nothing held. Change: docs/DESIGN.md has a table of layers; a test reads it and the imports of all modules, and fails on an import that is not from a higher to a lower layer, on a module that the table lacks, and on an entry without sources. The present imports needed no change.

--- /dev/null
+++ b/proof/layers/layers_test.go
@@ -0,0 +1,115 @@
+package layers
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// root is the project's folder, seen from this package.
+const root = "../.."
+
+// readProject reads the project's table and sources.
+func readProject(c *qt.C) (Order, Sources) {
+	page, err := os.ReadFile(root + "/docs/DESIGN.md")
+	c.Assert(err, qt.IsNil)
+	order, err := ReadOrder(string(page))
+	c.Assert(err, qt.IsNil)
+	sources, err := ReadSources(os.DirFS(root))
+	c.Assert(err, qt.IsNil)
+	return order, sources
+}
+
+// A developer adds an import against the order, as of a node in what decides.
+// It compiles and all tests pass, but the module can't be used without the
+// rest from then on. This fails in its place.
+func TestModulesImportLowerLayersOnly(t *testing.T) {
+	c := qt.New(t)
+	order, sources := readProject(c)
+	for _, against := range order.Check(sources) {
+		c.Errorf("%v", against)
+	}
+	c.Assert(len(sources.Imports) > 100, qt.IsTrue, qt.Commentf("%d imports read", len(sources.Imports)))
+}
+
+// Each import against the order is told, with the file that has it: one upwards,
+// one within the layer, and one past a package that stands apart.
+func TestPlantedImportIsTold(t *testing.T) {
+	for _, test := range []struct{ name, file, imported, told string }{
+		{"upwards", "admission/planted.go", "node", "admission/planted.go imports node: admission is in layer 2, node in layer 5"},
+		{"within the layer", "retry/deep/planted.go", "routing", "retry/deep/planted.go imports routing: retry is in layer 2, routing in layer 2"},
+		{"a helper of tests", "objects/planted.go", "node/testing/memnet", "objects/planted.go imports node/testing/memnet: objects is in layer 3, node in layer 5"},
+		{"apart from its module", "platform/store/planted.go", "platform", "platform/store/planted.go imports platform: platform/store is in layer 4, platform in layer 6"},
+		{"a module without a layer", "call/planted.go", "attic", "attic is in no layer"},
+		{"from a module without a layer", "attic/planted.go", "call", "attic is in no layer"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			order, sources := readProject(c)
+			planted, err := ReadSources(fstest.MapFS{
+				test.file: {Data: []byte("package planted\n\nimport _ \"" + projectPath + test.imported + "\"\n")},
+			})
+			c.Assert(err, qt.IsNil)
+			sources.Folders = append(sources.Folders, planted.Folders...)
+			sources.Imports = planted.Imports
+			against := order.Check(sources)
+			c.Assert(against, qt.HasLen, 1)
+			c.Assert(against[0].Error(), qt.Equals, test.told)
+		})
+	}
+}
+
+// An import downwards, one within the module, one of another project and those
+// of tests are in order.
+func TestImportInOrderIsNotTold(t *testing.T) {
+	c := qt.New(t)
+	sources, err := ReadSources(fstest.MapFS{
+		"low/low.go":          {Data: []byte("package low\n")},
+		"low/low_test.go":     {Data: []byte("package low\n\nimport _ \"pollengauge.dev/high\"\n")},
+		"low/testdata/bad.go": {Data: []byte("package bad\n\nimport _ \"pollengauge.dev/high\"\n")},
+		"high/high.go":        {Data: []byte("package high\n\nimport (\n\t_ \"fmt\"\n\t_ \"pollengauge.dev/high/part\"\n\t_ \"pollengauge.dev/low\"\n)\n")},
+		"high/part/part.go":   {Data: []byte("package part\n")},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(sources.Imports, qt.HasLen, 2)
+	c.Assert(Order{"low": 1, "high": 2}.Check(sources), qt.HasLen, 0)
+}
+
+// A module that was removed leaves no entry behind in the table.
+func TestEntryWithoutSourceIsTold(t *testing.T) {
+	c := qt.New(t)
+	against := Order{"gone": 1}.Check(Sources{})
+	c.Assert(against, qt.HasLen, 1)
+	c.Assert(against[0].Error(), qt.Equals, "gone is in a layer and has no source")
+}
+
+// A page without a table, or with one that can be read in two ways, would let
+// every import pass.
+func TestPageThatCannotBeReadIsRefused(t *testing.T) {
+	for name, page := range map[string]string{
+		"no table":            "# Design\n",
+		"another section":     "## Others\n\n| 1 | `call` | |\n",
+		"no module":           "## Layers\n\n| 1 | call | |\n",
+		"a module twice":      "## Layers\n\n| 1 | `call` | |\n| 2 | `call` | |\n",
+		"a layer past bounds": "## Layers\n\n| " + strings.Repeat("9", 30) + " | `call` | |\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := ReadOrder(page)
+			var refused *PageError
+			c.Assert(err, qt.ErrorAs, &refused)
+		})
+	}
+}
+
+// A file that can't be parsed may hide any import.
+func TestSourceThatCannotBeReadIsRefused(t *testing.T) {
+	c := qt.New(t)
+	_, err := ReadSources(fstest.MapFS{"call/call.go": {Data: []byte("import")}})
+	var refused *SourceError
+	c.Assert(err, qt.ErrorAs, &refused)
+	c.Assert(refused.File, qt.Equals, "call/call.go")
+}
--- /dev/null
+++ b/proof/layers/order.go
@@ -0,0 +1,115 @@
+package layers
+
+import (
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const (
+	// heading opens the section of the page that has the table.
+	heading = "## Layers"
+	// nextHeading opens the section after it.
+	nextHeading = "## "
+)
+
+var (
+	// row is a line of the table: the number of the layer, then its modules.
+	row = regexp.MustCompile(`^\| (\d+) \| ([^|]*) \|`)
+	// quoted is a module's folder.
+	quoted = regexp.MustCompile("`([^`]+)`")
+)
+
+// Order maps the folder of a module, or of a package that stands apart from the
+// rest of its module, to its layer.
+type Order map[string]int
+
+// ReadOrder reads the table under the heading "Layers" of a page.
+func ReadOrder(page string) (Order, error) {
+	order := make(Order)
+	inside := false
+	for i, line := range strings.Split(page, "\n") {
+		if strings.HasPrefix(line, nextHeading) {
+			inside = line == heading
+		}
+		match := row.FindStringSubmatch(line)
+		if !inside || match == nil {
+			continue
+		}
+		layer, err := strconv.Atoi(match[1])
+		if err != nil {
+			return nil, &PageError{Line: i + 1, Want: "the number of a layer"}
+		}
+		if err := order.place(match[2], layer, i+1); err != nil {
+			return nil, err
+		}
+	}
+	if len(order) == 0 {
+		return nil, &PageError{Line: 1, Want: "a table under the heading " + heading}
+	}
+	return order, nil
+}
+
+// place puts the modules of one line into a layer.
+func (o Order) place(cell string, layer, line int) error {
+	modules := quoted.FindAllStringSubmatch(cell, -1)
+	if len(modules) == 0 {
+		return &PageError{Line: line, Want: "modules in backquotes"}
+	}
+	for _, module := range modules {
+		if _, twice := o[module[1]]; twice {
+			return &PageError{Line: line, Want: module[1] + " in one layer only"}
+		}
+		o[module[1]] = layer
+	}
+	return nil
+}
+
+// moduleOf returns the longest entry that holds a package's folder, "" without
+// one.
+func (o Order) moduleOf(folder string) string {
+	for at := folder; at != ""; {
+		if _, placed := o[at]; placed {
+			return at
+		}
+		at = at[:max(strings.LastIndexByte(at, '/'), 0)]
+	}
+	return ""
+}
+
+// Check returns what is against the order, nothing if all is well.
+func (o Order) Check(sources Sources) []error {
+	var against []error
+	present := make(map[string]bool)
+	for _, folder := range sources.Folders {
+		module := o.moduleOf(folder)
+		if module == "" {
+			against = append(against, &UnplacedError{Module: folder})
+		}
+		present[module] = true
+	}
+	for _, one := range sources.Imports {
+		if err := o.checkImport(one); err != nil {
+			against = append(against, err)
+		}
+	}
+	for module := range o {
+		if !present[module] {
+			against = append(against, &AbsentError{Module: module})
+		}
+	}
+	slices.SortFunc(against, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	return against
+}
+
+func (o Order) checkImport(one Import) error {
+	from, to := o.moduleOf(one.folder()), o.moduleOf(one.Package)
+	if to == "" {
+		return &UnplacedError{Module: one.Package}
+	}
+	if from == "" || from == to || o[to] < o[from] {
+		return nil // an importer without a layer is told by its folder
+	}
+	return &OrderError{Import: one, From: from, To: to, FromLayer: o[from], ToLayer: o[to]}
+}
