--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -63,9 +63,5 @@
 		reason = lossReason(l.visit.ctx, l.visit.ctx.Err())
 	}
 	l.visit.close()
-	l.finish(admission.Failed, call.Unknown, reason, 0)
-	a := l.node.refuse(call.Unknown, reason, 0)
-	a.reported = true
-	l.node.fillReport(&a.report, l.visit)
-	return a
+	return l.withoutAnswer(admission.Failed, call.Unknown, reason)
 }
--- /dev/null
+++ b/node/local_finish.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"net/http"
+
+	"pollengauge.dev/admission"
+	"pollengauge.dev/call"
+	"pollengauge.dev/observe"
+)
+
+// finish ends the visit. It runs once.
+func (l *localCall) finish(result admission.Result, outcome call.Outcome, reason call.Reason, status int) {
+	if l.finished {
+		return
+	}
+	l.finished = true
+	l.noteWork(outcome, reason, status)
+	l.visit.close()
+	l.node.visits.remove(l.visit)
+	if outcome == call.Complete && status < http.StatusBadRequest {
+		l.node.graph.Completed(l.request.call.Profile, l.visit.completedCalls(), l.node.now())
+	}
+	l.cancel()
+	waited := l.visit.ticket.Waited()
+	profile := l.node.metrics.Profile(l.request.call.Profile)
+	profile.Inbound.Inc(1)
+	profile.QueueWait.Observe(waited)
+	l.visit.ticket.Release(result)
+	l.record(outcome, reason, status)
+}
+
+// record keeps the hop of a run that has ended.
+func (l *localCall) record(outcome call.Outcome, reason call.Reason, status int) {
+	waited := l.visit.ticket.Waited()
+	decision := observe.Admitted
+	if waited > 0 {
+		decision = observe.Delayed
+	}
+	hop := l.node.hop(l.request, observe.Inbound)
+	hop.At = l.arrived
+	hop.Decision = decision
+	hop.Outcome = outcome
+	hop.Reason = reason
+	hop.Waited = waited
+	hop.Took = l.node.now().Sub(l.started)
+	hop.Status = status
+	hop.CreditLeft = l.visit.creditLeft()
+	l.node.record(hop)
+}
+
+// noteWork measures how long the upstream worked. A failure that came fast says
+// nothing of its speed; a run that was cut at its deadline took that long at
+// least.
+func (l *localCall) noteWork(outcome call.Outcome, reason call.Reason, status int) {
+	answered := outcome == call.Complete && status < http.StatusInternalServerError
+	late := outcome == call.Unknown && reason == call.ReasonTimeout
+	if answered || late {
+		l.node.work.Add(l.request.call.Profile, l.visit.worked(l.node.now()))
+	}
+}
+
+// visitBody ends the visit when the upstream's answer has ended.
+type visitBody struct {
+	readCloser
+	call   *localCall
+	status int
+}
+
+type readCloser interface {
+	Read([]byte) (int, error)
+	Close() error
+}
+
+// Read implements io.Reader.
+func (b *visitBody) Read(p []byte) (int, error) {
+	count, err := b.readCloser.Read(p)
+	if err == nil {
+		return count, nil
+	}
+	if isEOF(err) {
+		b.call.finish(resultOf(b.status), call.Complete, call.ReasonNone, b.status)
+	} else {
+		b.call.finish(admission.Failed, call.Unknown, call.ReasonTruncated, b.status)
+	}
+	return count, err
+}
+
+// resultOf keeps failures out of the baseline: an upstream that fails fast
+// would otherwise look like one that became faster.
+func resultOf(status int) admission.Result {
+	if status >= http.StatusInternalServerError {
+		return admission.Failed
+	}
+	return admission.OK
+}
+
+// Close implements io.Closer. A body closed before its end belongs to a
+// receiver that went away.
+func (b *visitBody) Close() error {
+	b.call.finish(admission.Ignore, call.Unknown, call.ReasonCancelled, b.status)
+	return b.readCloser.Close()
+}
