--- a/node/outbound.go
+++ b/node/outbound.go
@@ -68,25 +68,11 @@
 func (n *Node) serveChild(w http.ResponseWriter, r *http.Request, service string, v *visit) {
 	report := call.Report{Outcome: call.NotRun}
 	defer func() { v.end(report, n.now()) }()
-	if v.call.Depth >= call.MaxDepth {
-		n.writeBad(w, r, &DepthError{Depth: v.call.Depth})
-		return
-	}
-	profile, err := n.profileFor(service, r)
+	req, err := n.readChild(w, r, service, v)
 	if err != nil {
 		n.writeBad(w, r, err)
 		return
 	}
-	req, err := n.readRequest(w, r, service, profile)
-	if err != nil {
-		n.writeBad(w, r, err)
-		return
-	}
-	req.span = n.startSpan(r.Header)
-	if req.key, err = keyOf(r.Header); err != nil {
-		n.writeBad(w, r, err)
-		return
-	}
 	childKey := n.inherit(req, v)
 	// From here on the call may run, whatever interrupts this handler.
 	report.Outcome = call.Unknown
@@ -108,6 +94,18 @@
 	}
 }
 
+// readChild reads a call of visit v.
+func (n *Node) readChild(w http.ResponseWriter, r *http.Request, service string, v *visit) (*request, error) {
+	if v.call.Depth >= call.MaxDepth {
+		return nil, &DepthError{Depth: v.call.Depth}
+	}
+	profile, err := n.profileFor(service, r)
+	if err != nil {
+		return nil, err
+	}
+	return n.readBelowRoot(w, r, service, profile)
+}
+
 // inherit gives a child what its root decided: id, profile, level, deadline.
 // It returns the key under which the child runs at most once, "" for none.
 func (n *Node) inherit(req *request, v *visit) string {
--- a/node/peer.go
+++ b/node/peer.go
@@ -49,16 +49,11 @@
 		return
 	}
 	profile := n.profileOf(c.Profile, r)
-	req, err := n.readRequest(w, r, service, profile)
+	req, err := n.readBelowRoot(w, r, service, profile)
 	if err != nil {
 		n.writeBad(w, r, err)
 		return
 	}
-	req.span = n.startSpan(r.Header)
-	if req.key, err = keyOf(r.Header); err != nil {
-		n.writeBad(w, r, err)
-		return
-	}
 	req.call = c
 	req.deadline = n.now().Add(c.Timeout)
 	if n.spoken() {
@@ -66,9 +61,14 @@
 	}
 	n.strip(req.header)
 	req.homeHops = homeHops
+	n.answerPeer(w, r, req)
+}
+
+// answerPeer runs another node's call and writes its answer.
+func (n *Node) answerPeer(w http.ResponseWriter, r *http.Request, req *request) {
 	start := n.now()
 	a := n.runPeer(r.Context(), req)
-	if homeHops > 0 {
+	if req.homeHops > 0 {
 		n.recordStep(req, a, observe.Root, start)
 	}
 	gone := r.Context().Err() != nil
@@ -77,7 +77,7 @@
 	}
 	defer a.close()
 	limitWrite(w, req.deadline)
-	err = writeAnswer(w, a)
+	err := writeAnswer(w, a)
 	if gone || err != nil {
 		n.noteCallerGone(req)
 	}
--- a/node/request.go
+++ b/node/request.go
@@ -53,3 +53,69 @@
 		return false
 	}
 }
+
+// readRequest reads the bounded parts of a request.
+func (n *Node) readRequest(w http.ResponseWriter, r *http.Request, service string, profile *config.Profile) (*request, error) {
+	body := &replayBody{}
+	if r.ContentLength != 0 {
+		var err error
+		if body, err = n.readRequestBody(w, r); err != nil {
+			return nil, err
+		}
+	}
+	return &request{
+		method:     r.Method,
+		service:    service,
+		url:        r.URL,
+		header:     r.Header,
+		body:       body,
+		trailer:    r.Trailer,
+		profile:    profile,
+		idempotent: idempotentMethod(r.Method, profile),
+	}, nil
+}
+
+// readBelowRoot reads a request of another node, or of the upstream here for a
+// visit: its trace and its
+// key come with it.
+func (n *Node) readBelowRoot(w http.ResponseWriter, r *http.Request, service string, profile *config.Profile) (*request, error) {
+	req, err := n.readRequest(w, r, service, profile)
+	if err != nil {
+		return nil, err
+	}
+	req.span = n.startSpan(r.Header)
+	if req.key, err = keyOf(r.Header); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
+// readRequestBody reads the part of a body that is held for further attempts.
+func (n *Node) readRequestBody(w http.ResponseWriter, r *http.Request) (*replayBody, error) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(n.settings.BodyTimeout))
+	body, err := readBody(r.Body, r.ContentLength, n.settings.MaxReplayBytes)
+	if err != nil {
+		return nil, &BodyError{Cause: err}
+	}
+	body.shared = n.settings.Ablate.SharedStream
+	n.strip(r.Trailer)
+	body.onEnd(func() {
+		// net/http goes on to watch the connection for its end, and a deadline
+		// left in place would look like one: the call would be cancelled while
+		// its caller waits for the answer.
+		_ = controller.SetReadDeadline(time.Time{})
+		n.strip(r.Trailer)
+	})
+	return body, nil
+}
+
+// keyOf reads the idempotency key, "" without one. One that can't be used is
+// refused: ignored, it would leave its call without protection.
+func keyOf(h http.Header) (string, error) {
+	key := h.Get(call.HeaderIdempotencyKey)
+	if key != "" && !call.ValidToken(key, call.MaxKeyLength) {
+		return "", &call.HeaderError{Header: call.HeaderIdempotencyKey, Value: key, Want: "1 to 200 visible ASCII characters"}
+	}
+	return key, nil
+}
