--- a/node/refusal.go
+++ b/node/refusal.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -211,13 +209,6 @@
 	return float64(offered.refused) / float64(offered.total)
 }
 
-func readBounded(r io.ReadCloser, limit int64) ([]byte, error) {
-	defer func() { _ = r.Close() }()
-	return io.ReadAll(io.LimitReader(r, limit))
-}
-
-func isEOF(err error) bool { return errors.Is(err, io.EOF) }
-
 func timeoutValue(d time.Duration) string {
 	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
 }
--- a/node/request.go
+++ b/node/request.go
@@ -76,8 +76,7 @@
 }
 
 // readBelowRoot reads a request of another node, or of the upstream here for a
-// visit: its trace and its
-// key come with it.
+// visit: its trace and its key come with it.
 func (n *Node) readBelowRoot(w http.ResponseWriter, r *http.Request, service string, profile *config.Profile) (*request, error) {
 	req, err := n.readRequest(w, r, service, profile)
 	if err != nil {
