node/pipelining: reading, and beginning ahead, in files of their own

Cause: conn.go read the socket and began requests ahead on 365 lines, and its safeguards had tests only through a whole node. Change: ahead.go begins requests and hands over their answers, read.go reads, conn.go has the connection and its deadlines. serveBegun and withhold are cut out of longer functions. conn_test.go has a test for each of five safeguards: answers that nobody takes, readings that differ, the close behind what was begun, the deadline of a waiting Read, callers that leave. No change of behaviour.

--- /dev/null
+++ b/node/pipelining/conn_test.go
@@ -0,0 +1,141 @@
+package pipelining
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// search is a request that may be begun before its turn.
+const search = "GET /search HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// early is an answer that tells whether it was let go of.
+type early struct{ dropped bool }
+
+func (e *early) Drop() { e.dropped = true }
+
+// turns is a connection on which a caller has sent searches behind one another.
+type turns struct {
+	conn   *Conn
+	caller net.Conn
+	read   *bufio.Reader
+	begun  []*early
+	// left ends when the requests that were begun are to stop.
+	left context.Context
+}
+
+// inTurns runs f on a connection with count searches, the first of which is
+// being served.
+func inTurns(t *testing.T, count int, f func(c *qt.C, turns *turns)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		caller, socket := net.Pipe()
+		turns := &turns{caller: caller}
+		turns.conn = New(socket, func(ctx context.Context, _ *http.Request) Answer {
+			one := &early{}
+			turns.begun = append(turns.begun, one)
+			turns.left = ctx
+			return one
+		})
+		defer turns.conn.Close()
+		defer caller.Close()
+		turns.read = bufio.NewReader(turns.conn)
+		go func() { _, _ = io.WriteString(caller, strings.Repeat(search, count)) }()
+		turns.conn.Serve(turns.next(c))
+		synctest.Wait()
+		c.Assert(turns.begun, qt.HasLen, count-1)
+		f(c, turns)
+	})
+}
+
+// next reads a request as net/http does.
+func (turns *turns) next(c *qt.C) *http.Request {
+	r, err := http.ReadRequest(turns.read)
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
+// A limit comes down while a search runs that was begun before its turn. Its
+// handler refuses it and never asks for the answer. Not let go of, the run would
+// count as under way for as long as the node lives.
+func TestAnswerThatNobodyTakesIsDropped(t *testing.T) {
+	inTurns(t, 3, func(c *qt.C, turns *turns) {
+		turns.conn.Done()
+		turns.conn.Serve(turns.next(c))
+		turns.conn.Done()
+		c.Check(turns.begun[0].dropped, qt.IsTrue)
+		c.Check(turns.begun[1].dropped, qt.IsFalse)
+		turns.conn.Serve(turns.next(c))
+		c.Check(turns.conn.Take(), qt.Equals, Answer(turns.begun[1]))
+		turns.conn.Done()
+		c.Check(turns.begun[1].dropped, qt.IsFalse, qt.Commentf("whoever took it lets go of it"))
+	})
+}
+
+// net/http reads another request than the one that was begun. Given the answer
+// that is ready, a caller would get what another request had asked for. All that
+// was begun is let go of, and nothing is begun on the connection any more.
+func TestNothingIsBegunOnceTheReadingsDiffer(t *testing.T) {
+	inTurns(t, 3, func(c *qt.C, turns *turns) {
+		turns.conn.Done()
+		other := turns.next(c)
+		other.RequestURI = "/other"
+		turns.conn.Serve(other)
+		c.Check(turns.conn.Take(), qt.IsNil)
+		c.Check(turns.begun[0].dropped && turns.begun[1].dropped, qt.IsTrue)
+		c.Check(turns.left.Err(), qt.IsNotNil)
+		go func() { _, _ = io.WriteString(turns.caller, search) }()
+		turns.next(c)
+		synctest.Wait()
+		c.Check(turns.begun, qt.HasLen, 2)
+	})
+}
+
+// A node that ends closes a connection with its next answer. Searches behind it
+// were begun: their caller would take them for unread and send them again, and
+// their work would be lost. Only the last answer may close the connection.
+func TestConnectionClosesOnlyBehindWhatWasBegun(t *testing.T) {
+	inTurns(t, 2, func(c *qt.C, turns *turns) {
+		c.Check(turns.conn.Last(), qt.IsFalse)
+		turns.conn.Done()
+		turns.conn.Serve(turns.next(c))
+		c.Check(turns.conn.Last(), qt.IsTrue)
+	})
+}
+
+// A caller sends nothing behind its last request, and net/http waits for the
+// next one under its idle timeout. With a goroutine at the socket, the socket's
+// own deadline is not in force; were Read not woken, the connection would be
+// held for ever.
+func TestReadEndsAtItsDeadline(t *testing.T) {
+	inTurns(t, 2, func(c *qt.C, turns *turns) {
+		turns.conn.Done()
+		turns.conn.Serve(turns.next(c))
+		turns.conn.Done()
+		c.Assert(turns.conn.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		_, err := turns.read.ReadByte()
+		c.Check(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
+// A caller leaves while searches run that it sent behind one another. Nobody
+// waits for them any more: all have to stop.
+func TestCallerThatLeavesStopsWhatWasBegun(t *testing.T) {
+	inTurns(t, 3, func(c *qt.C, turns *turns) {
+		c.Assert(turns.left.Err(), qt.IsNil)
+		c.Assert(turns.caller.Close(), qt.IsNil)
+		synctest.Wait()
+		c.Check(turns.left.Err(), qt.IsNotNil)
+		c.Check(turns.begun[0].dropped && turns.begun[1].dropped, qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/node/pipelining/read.go
@@ -0,0 +1,129 @@
+package pipelining
+
+import (
+	"net"
+	"os"
+	"time"
+)
+
+// Bounds of what a goroutine reads.
+const (
+	// maxUnread is how many received bytes wait for net/http before no more are
+	// read, in bytes.
+	maxUnread = 32 << 10
+	// readSize is the size of one read, in bytes: that of net/http's buffer.
+	readSize = 4 << 10
+)
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pumping {
+		return c.readUnread(p)
+	}
+	c.reading = true
+	c.mu.Unlock()
+	count, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.reading = false
+	withheld := count > 0 && c.withheld()
+	c.split.add(p[:count])
+	if err != nil && !isTimeout(err) {
+		c.dropAll()
+	}
+	if !withheld {
+		c.taken += int64(count)
+		c.lookAhead()
+		return count, err
+	}
+	c.withhold(p[:count], err)
+	return c.readUnread(p)
+}
+
+// withhold keeps what Read itself has read of requests behind the one being
+// served, and lets a goroutine read from here on. The lock is held.
+//
+// The failure: net/http waits for the caller to leave while a request is served,
+// and would stop at this byte of the next one. It gets it when its turn comes.
+func (c *Conn) withhold(p []byte, err error) {
+	c.unread = append(c.unread, p...)
+	if err != nil && !isTimeout(err) {
+		c.failed = err
+	}
+	c.lookAhead()
+	if !c.pumping {
+		c.startPump()
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// startPump reads the socket from here on. The lock is held.
+func (c *Conn) startPump() {
+	c.pumping = true
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil && c.failed == nil {
+		c.failed = err
+	}
+	c.armTimer()
+	if c.failed == nil {
+		go c.pump()
+	}
+}
+
+// pump reads the socket until it ends.
+func (c *Conn) pump() {
+	buf := make([]byte, readSize)
+	for {
+		count, err := c.Conn.Read(buf)
+		if !c.received(buf[:count], err) {
+			return
+		}
+	}
+}
+
+// received takes what the pump has read, and reports whether it is to go on.
+func (c *Conn) received(p []byte, err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread = append(c.unread, p...)
+	c.split.add(p)
+	c.lookAhead()
+	if err != nil {
+		c.failed = err
+		c.dropAll()
+	}
+	c.changed.Broadcast()
+	for len(c.unread) >= maxUnread && !c.closed {
+		c.changed.Wait()
+	}
+	return err == nil && !c.closed
+}
+
+// readUnread is Read where a goroutine reads the socket. The lock is held.
+func (c *Conn) readUnread(p []byte) (int, error) {
+	for {
+		switch {
+		case c.closed:
+			return 0, net.ErrClosed
+		case !c.deadline.IsZero() && !time.Now().Before(c.deadline):
+			return 0, os.ErrDeadlineExceeded
+		case len(c.unread) > 0 && !c.withheld():
+			count := copy(p, c.unread)
+			c.unread = append(c.unread[:0], c.unread[count:]...)
+			c.taken += int64(count)
+			c.changed.Broadcast()
+			return count, nil
+		case c.failed != nil:
+			return 0, c.failed
+		}
+		c.changed.Wait()
+	}
+}
+
+// withheld tells whether what was received belongs to requests behind the one
+// being served. The lock is held.
+func (c *Conn) withheld() bool { return c.serving && c.end >= 0 && c.taken >= c.end }
