admission: one table of profiles, bounded in one place

Cause: the gate and the feedback each had a table of profiles that grows by copying and puts names beyond a bound on a shared record, the same lines twice. Only one of the two bounds has to be forgotten for made-up names to fill a node. No change of behaviour.

--- a/admission/feedback.go
+++ b/admission/feedback.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,11 +38,9 @@
 // Feedback lets a root refuse what a deeper hop would refuse, before any work
 // is done. It learns from the worst admission level that each answer reports.
 type Feedback struct {
-	config FeedbackConfig
-	epoch  time.Time
-
-	mu       sync.Mutex
-	profiles atomic.Pointer[map[string]*feedbackProfile]
+	config   FeedbackConfig
+	epoch    time.Time
+	profiles profileMap[feedbackProfile]
 }
 
 // feedbackProfile is the state of one profile.
@@ -80,9 +77,7 @@
 	if config.ProbeEvery == 0 {
 		config.ProbeEvery = DefaultFeedbackProbeEvery
 	}
-	f := &Feedback{config: config}
-	f.profiles.Store(&map[string]*feedbackProfile{})
-	return f, nil
+	return &Feedback{config: config}, nil
 }
 
 // Observe takes the worst admission level that an answer reported.
@@ -126,8 +121,8 @@
 // Admit tells whether a call of the profile should be let in, and the level
 // in force. A few calls below it pass as probes.
 func (f *Feedback) Admit(profile string, l call.Level, now time.Time) (ok bool, inForce call.Level) {
-	p, known := (*f.profiles.Load())[profile]
-	if !known {
+	p := f.profiles.find(profile)
+	if p == nil {
 		return true, 0
 	}
 	old := p.state.Load()
@@ -158,30 +153,17 @@
 }
 
 func (f *Feedback) profile(name string, now time.Time) *feedbackProfile {
-	if p, ok := (*f.profiles.Load())[name]; ok {
+	if p := f.profiles.find(name); p != nil {
 		return p
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	old := *f.profiles.Load()
-	if len(old) == 0 {
-		f.epoch = now
-	}
-	if len(old) >= maxProfiles {
-		name = otherProfiles
-	}
-	if p, ok := old[name]; ok {
+	return f.profiles.add(name, func(string) *feedbackProfile {
+		if len(f.profiles.all()) == 0 {
+			f.epoch = now
+		}
+		p := &feedbackProfile{}
+		p.state.Store(packFeedback(0, f.clock(now)))
 		return p
-	}
-	grown := make(map[string]*feedbackProfile, len(old)+1)
-	for k, p := range old {
-		grown[k] = p
-	}
-	p := &feedbackProfile{}
-	p.state.Store(packFeedback(0, f.clock(now)))
-	grown[name] = p
-	f.profiles.Store(&grown)
-	return p
+	})
 }
 
 func packFeedback(level float32, heard uint32) uint64 {
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -63,7 +63,7 @@
 	loadUntil atomic.Int64
 	// pressed is the pressure in thousandths.
 	pressed  atomic.Int32
-	profiles atomic.Pointer[map[string]*profileStats]
+	profiles profileMap[profileStats]
 	_        [cacheLine]byte
 
 	shards [shardCount]statShard
@@ -86,7 +86,6 @@
 	g := &Gate{config: config, epoch: config.Clock(), limiter: newLimiter(config), leveler: newLeveler(config)}
 	g.queue.limit = config.QueueLimit
 	g.visits.New = func() any { return &visit{gate: g, shard: g.nextID.Add(1) % shardCount} }
-	g.profiles.Store(&map[string]*profileStats{})
 	g.slots.Store(int32(config.Slots))
 	g.limit.Store(int32(g.limiter.effective(0)))
 	g.nextTick.Store(int64(config.Window))
@@ -230,24 +229,8 @@
 
 // profile finds the record of a profile, and makes it when new.
 func (g *Gate) profile(name string) *profileStats {
-	if p, ok := (*g.profiles.Load())[name]; ok {
+	if p := g.profiles.find(name); p != nil {
 		return p
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	old := *g.profiles.Load()
-	if len(old) >= maxProfiles {
-		name = otherProfiles
-	}
-	if p, ok := old[name]; ok {
-		return p
-	}
-	grown := make(map[string]*profileStats, len(old)+1)
-	for k, p := range old {
-		grown[k] = p
-	}
-	p := &profileStats{name: name}
-	grown[name] = p
-	g.profiles.Store(&grown)
-	return p
+	return g.profiles.add(name, func(name string) *profileStats { return &profileStats{name: name} })
 }
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -55,7 +55,7 @@
 	if since, ok := g.queue.oldest(); ok {
 		s.OldestWait = now - since
 	}
-	for name, p := range *g.profiles.Load() {
+	for name, p := range g.profiles.all() {
 		s.Baselines[name] = time.Duration(p.baseline)
 	}
 	return s
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -15,12 +15,6 @@
 // cacheLine pads what is written by different processors.
 const cacheLine = 64
 
-// maxProfiles bounds how many profiles a gate measures apart. Any more share
-// one record, so a hostile or faulty caller can't grow the gate's memory.
-const maxProfiles = 256
-
-const otherProfiles = "(other)"
-
 // reasons are the refusals that a gate counts, in the order of its counters.
 var reasons = [...]call.Reason{
 	call.ReasonLevel,
--- a/admission/window.go
+++ b/admission/window.go
@@ -107,7 +107,7 @@
 		meanService: time.Duration(w.meanService),
 	}
 	p.admitted = admitted
-	for _, profile := range *g.profiles.Load() {
+	for _, profile := range g.profiles.all() {
 		load.offered += profile.offered()
 	}
 	load.offered /= elapsed.Seconds() * float64(max(int(g.limit.Load()), 1))
@@ -132,7 +132,7 @@
 	w.samples = w.samples[:0]
 	var self, service time.Duration
 	count := uint64(0)
-	for _, p := range *g.profiles.Load() {
+	for _, p := range g.profiles.all() {
 		if p.pending() < minSamples {
 			p.decayService()
 			continue
