retry, atmostonce: decisions that stood twice stand once

Cause: the bound of the retry budget stood in Allow and in Left, and which run may change a key's state to what was written out in four places. Change: Budget.bound and Run.mayBecome. Run: go test ./retry ./atmostonce passes; vet and staticcheck clean.

--- a/atmostonce/run.go
+++ b/atmostonce/run.go
@@ -1,6 +1,7 @@
 package atmostonce
 
 import (
+	"slices"
 	"time"
 
 	"pollengauge.dev/call"
@@ -34,8 +35,8 @@
 		// store may be deleted and the key claimed by another node.
 		return &RefusedError{Key: e.Key, Outcome: call.Unknown, Reason: call.ReasonKeyExpired}
 	}
-	if e.state != StateClaimed {
-		return &RunError{Key: e.Key, From: e.state, To: StateDispatched}
+	if err := r.mayBecome(StateDispatched, StateClaimed); err != nil {
+		return err
 	}
 	e.state = StateDispatched
 	e.since = now
@@ -72,8 +73,8 @@
 	r.shard.mu.Lock()
 	defer r.shard.mu.Unlock()
 	e := r.entry
-	if e.run != r || (e.state != StateDispatched && e.state != StateUnknown) {
-		return &RunError{Key: e.Key, From: e.state, To: StateDone}
+	if err := r.mayBecome(StateDone, StateDispatched, StateUnknown); err != nil {
+		return err
 	}
 	e.reason = call.ReasonNone
 	if answer != nil {
@@ -89,14 +90,24 @@
 	r.shard.mu.Lock()
 	defer r.shard.mu.Unlock()
 	e := r.entry
-	if e.run != r || e.state != StateDispatched {
-		return &RunError{Key: e.Key, From: e.state, To: StateUnknown}
+	if err := r.mayBecome(StateUnknown, StateDispatched); err != nil {
+		return err
 	}
 	e.reason = reason
 	r.end(StateUnknown, now)
 	return nil
 }
 
+// mayBecome refuses a change of state unless the key is still this run's and in one
+// of the states that lead there. The caller holds the shard's lock.
+func (r *Run) mayBecome(to State, from ...State) error {
+	e := r.entry
+	if e.run != r || !slices.Contains(from, e.state) {
+		return &RunError{Key: e.Key, From: e.state, To: to}
+	}
+	return nil
+}
+
 // end stores a fate. The caller holds the shard's lock.
 func (r *Run) end(state State, now time.Time) {
 	e := r.entry
@@ -123,8 +134,8 @@
 	r.shard.mu.Lock()
 	defer r.shard.mu.Unlock()
 	e := r.entry
-	if e.run != r || (e.state != StateClaimed && e.state != StateDispatched) {
-		return &RunError{Key: e.Key, From: e.state, To: StateReleased}
+	if err := r.mayBecome(StateReleased, StateClaimed, StateDispatched); err != nil {
+		return err
 	}
 	if e.minted || r.shard.view.phase >= phaseSealed {
 		r.table.takeBack(r.shard, e)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -127,7 +127,7 @@
 	firsts := b.sumFirsts(epoch)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if float64(sum(b.retries[:], epoch)+1) > b.config.Ratio*float64(firsts)+float64(b.config.Burst) {
+	if float64(sum(b.retries[:], epoch)+1) > b.bound(firsts) {
 		return false
 	}
 	add(b.retries[:], epoch)
@@ -137,8 +137,12 @@
 // Left returns how many retries may be made now.
 func (b *Budget) Left(now time.Time) int {
 	state := b.State(now)
-	allowed := b.config.Ratio*float64(state.Firsts) + float64(b.config.Burst)
-	return max(int(allowed)-int(state.Retries), 0)
+	return max(int(b.bound(state.Firsts))-int(state.Retries), 0)
+}
+
+// bound is the most retries of a window with so many first attempts.
+func (b *Budget) bound(firsts int64) float64 {
+	return b.config.Ratio*float64(firsts) + float64(b.config.Burst)
 }
 
 // BudgetState is what a Budget counted in its current window.
