node, proof: one wait for the call budget, one for the end of a drain

Cause: a claim and the list of claims each decided how long to wait for the call budget; the two drains each had the loop that waits for the last call; three places wrote objects.Pause out. Change: awaitBudget, with a test, which the wait had none of; awaitEnd; Pause. No change of behaviour.

--- a/node/claims.go
+++ b/node/claims.go
@@ -131,18 +131,23 @@
 	giveUp := time.Now().Add(maxBudgetWait)
 	for {
 		o, err := s.store.Create(ctx, claimKind, name, value)
-		var overBudget *objects.RateError
-		if !errors.As(err, &overBudget) || time.Now().Add(overBudget.RetryAfter).After(giveUp) {
+		if !awaitBudget(ctx, err, time.Until(giveUp)) {
 			return o, err
 		}
-		select {
-		case <-ctx.Done():
-			return o, err
-		case <-time.After(overBudget.RetryAfter):
-		}
 	}
 }
 
+// awaitBudget reports whether a call to the platform that ended with err was over
+// this node's budget and may be made again, which it waits for. It does not wait
+// where that takes longer than left.
+func awaitBudget(ctx context.Context, err error, left time.Duration) bool {
+	var overBudget *objects.RateError
+	if !errors.As(err, &overBudget) || overBudget.RetryAfter > left {
+		return false
+	}
+	return objects.Pause(ctx, overBudget.RetryAfter)
+}
+
 // Get implements atmostonce.ClaimStore.
 func (s *claimStore) Get(ctx context.Context, name string) (atmostonce.Claim, atmostonce.Version, error) {
 	o, err := s.store.Get(ctx, claimKind, name)
--- /dev/null
+++ b/node/claims_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/objects"
+)
+
+// A caller brings a key just when this node has used up its calls to the
+// platform. Refused at once it would come back, and the call be made twice as
+// often; kept for longer than it has, it would get no answer at all. A claim
+// waits for the budget where that is soon, and for nothing else.
+func TestClaimWaitsForTheBudgetWhereThatIsSoon(t *testing.T) {
+	const left = 500 * time.Millisecond
+	ended, end := context.WithCancel(context.Background())
+	end()
+	for _, test := range []struct {
+		name   string
+		ctx    context.Context
+		err    error
+		again  bool
+		waited time.Duration
+	}{
+		{"soon", context.Background(), &objects.RateError{RetryAfter: left}, true, left},
+		{"too late", context.Background(), &objects.RateError{RetryAfter: left + 1}, false, 0},
+		{"another failure", context.Background(), errors.New("down"), false, 0},
+		{"no failure", context.Background(), nil, false, 0},
+		{"caller gone", ended, &objects.RateError{RetryAfter: left}, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				began := time.Now()
+				c.Check(awaitBudget(test.ctx, test.err, left), qt.Equals, test.again)
+				c.Check(time.Since(began), qt.Equals, test.waited)
+			})
+		})
+	}
+}
--- a/node/coalesce.go
+++ b/node/coalesce.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pollengauge.dev/objects"
 )
 
 // coalescer runs a task soon after it was asked for, and once for many asks.
@@ -34,10 +36,8 @@
 		case <-c.asked:
 		}
 		c.task()
-		select {
-		case <-ctx.Done():
+		if !objects.Pause(ctx, c.pause) {
 			return
-		case <-time.After(c.pause):
 		}
 	}
 }
--- a/node/drain.go
+++ b/node/drain.go
@@ -103,14 +103,20 @@
 
 // awaitIdle waits until this node's upstream serves nothing.
 func (n *Node) awaitIdle(ctx context.Context) error {
+	return n.awaitEnd(ctx, n.gate.InFlight, func() bool { return n.gate.InFlight() > 0 || n.gate.Snapshot().Queued > 0 })
+}
+
+// awaitEnd waits until the node is no longer busy. inFlight is told if ctx ends
+// before.
+func (n *Node) awaitEnd(ctx context.Context, inFlight func() int, busy func() bool) error {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for n.gate.InFlight() > 0 || n.gate.Snapshot().Queued > 0 {
+	for busy() {
 		select {
 		case <-ctx.Done():
-			inFlight := n.gate.InFlight()
-			n.log.Emit(observe.DrainTimeout, observe.Int("in_flight", inFlight))
-			return &DrainError{InFlight: inFlight}
+			left := inFlight()
+			n.log.Emit(observe.DrainTimeout, observe.Int("in_flight", left))
+			return &DrainError{InFlight: left}
 		case <-tick.C:
 		}
 	}
--- a/node/ending.go
+++ b/node/ending.go
@@ -54,19 +54,8 @@
 
 // awaitActive waits until no request of any kind is in this node.
 func (n *Node) awaitActive(ctx context.Context) error {
-	tick := time.NewTicker(drainPoll)
-	defer tick.Stop()
-	for n.active.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			inFlight := int(n.active.Load())
-			n.log.Emit(observe.DrainTimeout, observe.Int("in_flight", inFlight))
-			return &DrainError{InFlight: inFlight}
-		case <-tick.C:
-		}
-	}
-	n.log.Emit(observe.Drained)
-	return nil
+	active := func() int { return int(n.active.Load()) }
+	return n.awaitEnd(ctx, active, func() bool { return active() > 0 })
 }
 
 // crowdedShare is the part of the connections at the outbound listener, in
--- a/node/openclaims.go
+++ b/node/openclaims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -72,8 +71,7 @@
 	giveUp := n.now().Add(claimsWait)
 	for {
 		found, _, err := n.store.List(ctx, claimKind, prefix)
-		var overBudget *objects.RateError
-		if !errors.As(err, &overBudget) || n.now().Add(overBudget.RetryAfter).After(giveUp) || !objects.Pause(ctx, overBudget.RetryAfter) {
+		if !awaitBudget(ctx, err, giveUp.Sub(n.now())) {
 			return found, err
 		}
 	}
--- a/proof/upstream.go
+++ b/proof/upstream.go
@@ -11,6 +11,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/node/testing/memnet"
+	"pollengauge.dev/objects"
 )
 
 // Upstream is the back end beside a node. It runs operations as its current
@@ -169,12 +170,7 @@
 	if d <= 0 {
 		return
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-k.r.Context().Done():
-	}
+	objects.Pause(k.r.Context(), d)
 	k.net.AwaitThaw(k.host)
 }
 
