node: the rule for names as it was

Cause: the rule for a service's name is being changed and moved elsewhere; asking atmostonce for it would tie the two together just as they part. Run: go vet ./node.

--- a/node/settings.go
+++ b/node/settings.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/config"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
@@ -174,11 +173,21 @@
 	}
 }
 
+const maxName = 63
+
 // validName reports whether s can name a service, a zone or a region: 1 to 63
-// of a-z, 0-9 and -, not - at an end. Every call out is checked by it. A service
-// whose name can't be in a key could mint none.
+// of a-z, 0-9 and -, not - at an end. Every call out is checked by it.
 func validName(s string) bool {
-	return atmostonce.ValidService(s) && s[0] != '-' && s[len(s)-1] != '-'
+	if s == "" || len(s) > maxName || s[0] == '-' || s[len(s)-1] == '-' {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
 }
 
 // Check returns a *SettingsError that lists every wrong setting, or nil.
