--- a/cmd/pollengauge/internal/cli/explain.go
+++ b/cmd/pollengauge/internal/cli/explain.go
@@ -40,7 +40,7 @@
 				return &ArgumentError{Name: "--width", Value: strconv.Itoa(width), Want: "40 to 1000"}
 			}
 			if !call.ValidToken(args[0], call.MaxIDLength) {
-				return &ArgumentError{Name: "REQUEST", Value: args[0], Want: "a request id, as in the header Pollengauge-Request: at most 96 visible characters"}
+				return &ArgumentError{Name: "REQUEST", Value: args[0], Want: "a request id, as in the header Pollengauge-Request: visible characters"}
 			}
 			return runExplain(cmd, flags, addresses, args[0], width)
 		},
--- a/node/routed.go
+++ b/node/routed.go
@@ -181,13 +181,9 @@
 	return strings.ToLower(host)
 }
 
-// rawPath is the path as it came, without its query.
-func rawPath(r *http.Request) string {
-	if r.URL.RawPath != "" {
-		return r.URL.RawPath
-	}
-	return r.URL.Path
-}
+// rawPath is the path as it came, without its query. A path whose escapes are the
+// usual ones is kept only decoded.
+func rawPath(r *http.Request) string { return r.URL.EscapedPath() }
 
 // pickShare draws one of the services of a route, each with the probability of
 // its weight. What a service refuses is not moved to another: its share would
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -392,3 +393,14 @@
 		f.c.Check(orphan.call.Depth, qt.Equals, 1)
 	})
 }
+
+// Operators name a route by a path with escaped bytes, and its callers send just
+// those. Compared with the decoded path, it has no route, and they are told so for
+// good.
+func TestPathsAreComparedAsTheyCame(t *testing.T) {
+	c := qt.New(t)
+	for _, path := range []string{"/a%20b/x", "/a%2Fb/x", "/a+b/x", "/a;b/x", "/%C3%A9/x"} {
+		r := httptest.NewRequest(http.MethodGet, "http://desk.example"+path+"?q=1", nil)
+		c.Check(rawPath(r), qt.Equals, path)
+	}
+}
