retry: what was wanted long ago has no claim on scarce retries

Cause: the average of what is wanted fell by one step for the whole time without calls. After minutes of peace the first second of a new fault denied retries to runs far from their end in favour of ones that nobody had wanted since. Change: each tick without calls counts as one. TestWhatWasWantedLongAgoCountsNoMore fails before.

--- a/retry/ration.go
+++ b/retry/ration.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -98,9 +99,12 @@
 	ticks := int(now.Sub(r.until)/rationTick) + 1
 	r.until = r.until.Add(time.Duration(ticks) * rationTick)
 	left := float64(r.bound.Left(now)) * float64(rationTick) / float64(rationHorizon)
+	// What was asked came in the first of these ticks; in the others nothing did.
+	quiet := math.Pow(1-rationWeight, float64(ticks-1))
 	for i := range r.wanted {
 		w := &r.wanted[i]
-		w.usual += rationWeight * (w.asked/float64(ticks) - w.usual)
+		w.usual += rationWeight * (w.asked - w.usual)
+		w.usual *= quiet
 		w.asked = 0
 		w.granted = 1
 		if w.usual > left {
--- a/retry/ration_test.go
+++ b/retry/ration_test.go
@@ -143,3 +143,32 @@
 	c.Check(order[0].place() >= 0, qt.IsTrue)
 	c.Check(Benefit{Priority: 0, Remaining: 1000}.place() < rationPlaces, qt.IsTrue)
 }
+
+// A service sheds for some seconds, and is sound again for minutes. When another
+// fault begins, the first retries are for runs at their first call. They are denied
+// in favour of retries that nobody has wanted for minutes, and these runs fail though
+// the budget is full.
+func TestWhatWasWantedLongAgoCountsNoMore(t *testing.T) {
+	c := qt.New(t)
+	bucket := NewBucket(BucketConfig{Ratio: 0.2, Start: start})
+	ration := NewRation(bucket)
+	near, far := Benefit{Remaining: 1}, Benefit{Remaining: 4}
+	now := start
+	for range 50 {
+		for range 40 {
+			ration.Admit(near, 0, now)
+		}
+		now = now.Add(rationTick)
+	}
+	const earns = 300 // for 30 retries in a tick, fewer than were wanted near the end
+	now = now.Add(5 * time.Minute)
+	for range earns {
+		bucket.OnFirst(now)
+	}
+	for range 3 {
+		for range 40 {
+			c.Check(ration.Admit(far, 0.9, now), qt.IsTrue)
+		}
+		now = now.Add(rationTick)
+	}
+}
