objects: an answer of the platform that goes on arriving is not cut off

Change: the time of a call counts until its answer begins, and then between two parts of it; sixteen timeouts end one that would drip for ever. TestAnswersEndForWantOfProgressOnly fails before (cut off after one second).

--- a/objects/exchange.go
+++ b/objects/exchange.go
@@ -52,9 +52,11 @@
 	if err := c.spend(q.Op); err != nil {
 		return Answer{}, Reply{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout+longestAnswer*c.options.Timeout)
 	defer cancel()
-	a, err := c.send(ctx, q, m)
+	progress := startProgress(ctx, timeout, c.options.Timeout)
+	defer progress.end()
+	a, err := c.send(progress.ctx, q, m, progress)
 	if err != nil {
 		return Answer{}, Reply{}, err
 	}
@@ -62,7 +64,7 @@
 	return a, r, err
 }
 
-func (c *Client) send(ctx context.Context, q Query, m Message) (Answer, error) {
+func (c *Client) send(ctx context.Context, q Query, m Message, p *progress) (Answer, error) {
 	attempts := 0
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		attempts++
@@ -77,7 +79,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	a, err := c.roundTrip(req)
+	a, err := c.roundTrip(req, p)
 	if err == nil {
 		return a, nil
 	}
@@ -110,13 +112,13 @@
 	return req, nil
 }
 
-func (c *Client) roundTrip(req *http.Request) (Answer, error) {
+func (c *Client) roundTrip(req *http.Request, p *progress) (Answer, error) {
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Answer{}, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.options.MaxAnswer+1))
+	body, err := io.ReadAll(io.LimitReader(p.watch(resp.Body), c.options.MaxAnswer+1))
 	if err != nil {
 		return Answer{}, err
 	}
--- /dev/null
+++ b/objects/progress_test.go
@@ -0,0 +1,91 @@
+package objects
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// slowAnswers is a platform whose answers arrive in parts, each after a pause.
+type slowAnswers struct {
+	parts int
+	pause time.Duration
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s slowAnswers) RoundTrip(r *http.Request) (*http.Response, error) {
+	body := &slowBody{ctx: r.Context(), left: s.parts, pause: s.pause}
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}, nil
+}
+
+type slowBody struct {
+	ctx   context.Context
+	left  int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(to []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	select {
+	case <-time.After(b.pause):
+		return copy(to, "x"), nil
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+}
+
+// wholeAnswer is a wire that takes any answer.
+type wholeAnswer struct{ Wire }
+
+// Encode implements Wire.
+func (wholeAnswer) Encode(Query) (Message, error) {
+	return Message{Method: http.MethodGet, Path: "/"}, nil
+}
+
+// Decode implements Wire.
+func (wholeAnswer) Decode(_ Query, a Answer) (Reply, error) {
+	return Reply{Objects: []Object{{Kind: "k", Name: "n", Version: 1, Revision: 1, Value: a.Body}}}, nil
+}
+
+// An object has grown long, and the link to the platform is narrow: its answer takes
+// three times the timeout of a call, and never stalls. Cut off, it would be asked for
+// anew for ever. An answer that stalls, or that would drip for ever, must still end.
+func TestAnswersEndForWantOfProgressOnly(t *testing.T) {
+	const timeout = time.Second
+	for _, tc := range []struct {
+		name   string
+		answer slowAnswers
+		whole  bool
+		within time.Duration
+	}{
+		{"long", slowAnswers{parts: 30, pause: timeout / 10}, true, 3 * timeout},
+		{"stalls", slowAnswers{parts: 1, pause: time.Hour}, false, timeout},
+		{"drips", slowAnswers{parts: 1000, pause: timeout / 2}, false, (longestAnswer + 1) * timeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				client, err := NewClient(Options{Endpoint: "http://platform:1", Wire: wholeAnswer{}, Timeout: timeout})
+				c.Assert(err, qt.IsNil)
+				client.http = &http.Client{Transport: tc.answer}
+				begin := time.Now()
+				object, err := client.Get(t.Context(), "k", "n")
+				c.Check(err == nil, qt.Equals, tc.whole)
+				c.Check(len(object.Value) == tc.answer.parts, qt.Equals, tc.whole)
+				c.Check(time.Since(begin), qt.Equals, tc.within)
+				if !tc.whole {
+					c.Check(err, qt.ErrorAs, new(*UnavailableError))
+				}
+			})
+		})
+	}
+}
