objects: a foreign object beside the configuration keeps nothing from being read

A name of over 253 bytes that another writer gave to an object of the kind made every list and watch of it fail, so that no node read the configuration. Such objects are passed over. TestAnObjectBesideKeepsNoneFromBeingRead fails before (one of five names).

--- a/objects/decode.go
+++ b/objects/decode.go
@@ -24,6 +24,9 @@
 	last := q.After
 	var kept []Object
 	for _, o := range r.Objects {
+		if foreign(o) {
+			continue
+		}
 		problem := q.problem(o)
 		if problem == "" && o.Name <= last {
 			problem = "object out of order"
@@ -47,14 +50,23 @@
 	if r.Revision < q.From {
 		return nil, q.Malformed(a, "next revision went back", nil)
 	}
+	var kept []Event
 	for _, e := range r.Events {
+		if foreign(e.Object) {
+			continue
+		}
 		if problem := q.problem(e.Object); problem != "" {
 			return nil, q.Malformed(a, problem, nil)
 		}
+		kept = append(kept, e)
 	}
-	return r.Events, nil
+	return kept, nil
 }
 
+// foreign tells whether an object has a name that this project never gives or asks
+// for. It is some other writer's, and must not keep those beside it from being read.
+func foreign(o Object) bool { return o.Name != "" && !validName(o.Name) }
+
 // problem tells why an object can't be the answer to q, "" if it can.
 func (q Query) problem(o Object) string {
 	switch {
