membership: a silent peer holds no version back

Cause: the time of a transfer that was cut off doubled for all members and all versions, and one transfer was under way at a time: a peer that shows versions and does not answer kept a member from asking the others for up to 16 s. Change: the time grows for that member and version only; a transfer from another member may begin beside one that has lasted a second, two at most.

--- a/membership/payload.go
+++ b/membership/payload.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// pullTimeout bounds the transfer of one payload. One that is cut off has
-	// twice the time for the next, up to maxPullTimeout.
+	// pullTimeout bounds the transfer of one payload. After one that is cut off, the
+	// next from the same member has twice the time, up to maxPullTimeout.
 	pullTimeout    = time.Second
 	maxPullTimeout = 16 * time.Second
 	// pullRetry is the wait after a transfer that failed.
@@ -19,23 +19,63 @@
 	pullRefused = 10 * time.Second
 )
 
+// maxTransfers bounds the transfers of one member at a time.
+const maxTransfers = 2
+
 // pullState allows one transfer at a time, so that a payload that many peers
-// announce crosses the network once for each member.
+// announce crosses the network once for each member; and one from another peer
+// where that takes long, since the first may have fallen silent.
 type pullState struct {
-	active  bool
+	// running has when the transfers under way began.
+	running map[memberID]time.Time
 	next    time.Time
 	refused uint64
 	until   time.Time
-	// timeout is what the next transfer has, 0 for pullTimeout.
-	timeout time.Duration
+	// slow has the time of the next transfer from members of which one was cut
+	// off, while version is not in force here.
+	slow    map[memberID]time.Duration
+	version uint64
+}
+
+// busy tells whether no transfer from a member may begin now.
+func (p *pullState) busy(from memberID, now time.Time) bool {
+	if _, running := p.running[from]; running || len(p.running) >= maxTransfers {
+		return true
+	}
+	for _, began := range p.running {
+		if now.Sub(began) < pullTimeout {
+			return true
+		}
+	}
+	return now.Before(p.next)
+}
+
+func (p *pullState) begin(from memberID, now time.Time) {
+	if p.running == nil {
+		p.running = make(map[memberID]time.Time)
+	}
+	p.running[from] = now
+}
+
+// timeoutFor returns how long a transfer of a version from a member may take. What
+// was learnt about links ends with the version: the next one may have less to carry,
+// and must not wait for long on a member that has fallen silent.
+func (p *pullState) timeoutFor(from memberID, version uint64) time.Duration {
+	if version > p.version {
+		p.version, p.slow = version, nil
+	}
+	return max(p.slow[from], pullTimeout)
 }
 
-// cutOff gives the next transfer more time.
+// cutOff gives the next transfer from a member more time.
 //
 // The failure: a payload that takes longer than its time is cut off and begun
 // anew, for ever, and this member never has the version.
-func (p *pullState) cutOff(after time.Duration) {
-	p.timeout = min(2*after, maxPullTimeout)
+func (p *pullState) cutOff(from memberID, after time.Duration) {
+	if p.slow == nil {
+		p.slow = make(map[memberID]time.Duration)
+	}
+	p.slow[from] = min(2*after, maxPullTimeout)
 }
 
 // answerPull puts the configuration into the reply to a peer that has an older one.
@@ -67,12 +107,12 @@
 	defer g.mu.Unlock()
 	row := g.table.rows[from]
 	p := &g.pull
-	if row == nil || p.active || now.Before(p.next) || (version == p.refused && now.Before(p.until)) {
+	if row == nil || p.busy(from, now) || (version == p.refused && now.Before(p.until)) {
 		return
 	}
-	p.active = true
+	p.begin(from, now)
 	peer := target{id: from, addr: row.m.GossipAddr}
-	go g.transfer(peer, max(p.timeout, pullTimeout))
+	go g.transfer(peer, p.timeoutFor(from, version))
 }
 
 // transfer pulls a payload and offers it to the delegate.
@@ -93,10 +133,9 @@
 	taken := g.cfg.Delegate.LocalVersion() > before
 	now := g.cfg.Clock()
 	g.mu.Lock()
-	g.pull.active = false
+	delete(g.pull.running, peer.id)
 	switch {
 	case taken:
-		g.pull.timeout = 0
 		g.rumors.addVersion()
 	case offered:
 		g.pull.refused = reply.Version
@@ -105,7 +144,7 @@
 		g.pull.next = now.Add(pullRetry)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !taken {
-		g.pull.cutOff(timeout)
+		g.pull.cutOff(peer.id, timeout)
 	}
 	g.mu.Unlock()
 	g.wakeLoop()
