config, membership, node, platform: news of a version fades, and numbers of any size are versions

Change: a version is refused for its size by submitting only; the number of an object that can't be used is read on its own, and one without a number counts on that node alone; who sees a version on the platform tells of it afresh, each hop adds to its age, and after a minute without news it counts no more; limits are read one by one.

--- a/config/document.go
+++ b/config/document.go
@@ -107,6 +107,20 @@
 	return d, nil
 }
 
+// StoredVersion reads the version alone of the object's value, also where a newer
+// build wrote what this one can't use.
+func StoredVersion(value []byte) (version uint64, ok bool) {
+	var d struct {
+		Set struct {
+			Version *uint64 `json:"version"`
+		} `json:"set"`
+	}
+	if err := json.Unmarshal(value, &d); err != nil || d.Set.Version == nil {
+		return 0, false
+	}
+	return *d.Set.Version, true
+}
+
 func onlyKnownFields(set []byte) error {
 	if len(set) == 0 {
 		return nil
--- /dev/null
+++ b/config/heard_test.go
@@ -0,0 +1,51 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/objects"
+)
+
+// Operators store a version of a newer build, which this one refuses. Its number
+// must be read all the same, or a node tells neither callers nor operators that it
+// is behind.
+func TestVersionOfARefusedDocumentIsRead(t *testing.T) {
+	c := qt.New(t)
+	value := []byte(`{"set":{"version":7,"fieldOfANewerBuild":1}}`)
+	_, err := NewStore().OfferObject(objects.Object{Kind: ObjectKind, Name: ObjectName, Value: value})
+	c.Assert(err, qt.IsNotNil)
+	version, ok := StoredVersion(value)
+	c.Check(ok, qt.IsTrue)
+	c.Check(version, qt.Equals, uint64(7))
+	_, ok = StoredVersion([]byte(`{"set":{}}`))
+	c.Check(ok, qt.IsFalse)
+}
+
+// News of versions comes from many nodes and in any order. A lower one must not
+// hide a higher, an old one not outlast its time, and what is in force is no news.
+func TestHeardVersions(t *testing.T) {
+	c := qt.New(t)
+	s := NewStore()
+	start := time.Unix(1000, 0)
+	at := func(after time.Duration) time.Time { return start.Add(after) }
+	s.Hear(5, at(0))
+	s.Hear(3, at(time.Second))
+	newest, when := s.Newest(at(2 * time.Second))
+	c.Check(newest, qt.Equals, uint64(5))
+	c.Check(when, qt.Equals, at(0))
+	c.Check(s.Behind(at(HeardFor-1)), qt.IsTrue)
+	c.Check(s.Behind(at(HeardFor)), qt.IsFalse)
+	s.Hear(4, at(HeardFor))
+	newest, _ = s.Newest(at(HeardFor))
+	c.Check(newest, qt.Equals, uint64(4))
+	s.Hear(4, at(2*HeardFor-1))
+	c.Check(s.Behind(at(2*HeardFor)), qt.IsTrue)
+	set := Default()
+	set.Version = 4
+	_, err := s.OfferSet(set, SourcePlatform)
+	c.Assert(err, qt.IsNil)
+	c.Check(s.Behind(at(2*HeardFor)), qt.IsFalse)
+}
--- a/config/store.go
+++ b/config/store.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Source says where a Set came from.
@@ -31,8 +32,8 @@
 // Store holds the Set that is in force on one node. Its version only goes up.
 type Store struct {
 	current atomic.Pointer[accepted]
-	// heard is the highest version that is known to exist.
-	heard atomic.Uint64
+	// heard is the highest version that was heard of lately, nil before any.
+	heard atomic.Pointer[heardVersion]
 
 	// mu is held while a Set is put in force and subscribers are told, so
 	// that each of them sees every version once and in order.
@@ -85,26 +86,55 @@
 	}
 }
 
-// Hear notes that a version exists, whether or not it can be put in force here.
-func (s *Store) Hear(version uint64) {
-	for version <= MaxVersion {
+// HeardFor is how long a version that was heard of counts without being heard of
+// again. Whoever sees it on the platform tells of it all the while.
+//
+// The failure: a number that nobody ever wrote, from a faulty peer, goes round among
+// the nodes, and each holds itself for behind for ever.
+const HeardFor = time.Minute
+
+// heardVersion is never changed after it was stored.
+type heardVersion struct {
+	version uint64
+	// at is when it was last known to exist.
+	at time.Time
+}
+
+func (h *heardVersion) counts(now time.Time) bool {
+	return h != nil && now.Sub(h.at) < HeardFor
+}
+
+// Hear notes that a version was known to exist at a time, whether or not it can be
+// put in force here.
+func (s *Store) Hear(version uint64, at time.Time) {
+	next := &heardVersion{version: version, at: at}
+	for {
 		known := s.heard.Load()
-		if version <= known || s.heard.CompareAndSwap(known, version) {
+		if known.counts(at) && (version < known.version || (version == known.version && !at.After(known.at))) {
+			return
+		}
+		if s.heard.CompareAndSwap(known, next) {
 			return
 		}
 	}
 }
 
-// HearUnreadable notes that there is a later version than the one in force, of
-// which not even the number can be read.
-func (s *Store) HearUnreadable() { s.Hear(s.Current().Version() + 1) }
-
-// Newest returns the highest version that is known to exist. It is above the one
-// in force where that one was refused, or is still on its way.
-func (s *Store) Newest() uint64 { return max(s.heard.Load(), s.Current().Version()) }
+// Newest returns the highest version that is known to exist, and when that was last
+// known. It is above the one in force where that one was refused, or is still on its
+// way.
+func (s *Store) Newest(now time.Time) (version uint64, at time.Time) {
+	inForce := s.Current().Version()
+	if known := s.heard.Load(); known.counts(now) && known.version > inForce {
+		return known.version, known.at
+	}
+	return inForce, now
+}
 
-// Behind reports whether a later version exists than the one in force.
-func (s *Store) Behind() bool { return s.heard.Load() > s.Current().Version() }
+// Behind reports whether a later version is known to exist than the one in force.
+func (s *Store) Behind(now time.Time) bool {
+	newest, _ := s.Newest(now)
+	return newest > s.Current().Version()
+}
 
 // Offer puts an encoded Set in force if it is valid and its version is
 // higher than the one in force, and reports whether it did. A lower or equal
--- a/config/validate.go
+++ b/config/validate.go
@@ -113,7 +113,7 @@
 }
 
 func (v *validator) header(s Set) {
-	v.check(s.Version <= MaxVersion, "version", strconv.FormatUint(s.Version, 10), "at most 2^53")
+	v.bound(s.Version <= MaxVersion, "version", strconv.FormatUint(s.Version, 10), "at most 2^53")
 	v.bound(s.ChangeID == "" || call.ValidToken(s.ChangeID, MaxNameLength), "changeId", s.ChangeID, "at most 63 visible ASCII characters")
 	v.bound(validText(s.Author), "author", s.Author, wantText)
 	v.bound(validText(s.Comment), "comment", s.Comment, wantText)
--- a/membership/config.go
+++ b/membership/config.go
@@ -19,10 +19,10 @@
 	// The delegate validates it; a rise of LocalVersion tells that it was taken.
 	Offer(from string, version uint64, data []byte)
 	// NewestVersion returns the highest version that is known to exist, in force
-	// here or not. It is called for each message.
-	NewestVersion() uint64
-	// Hear tells of a version above NewestVersion that some member knows of.
-	Hear(version uint64)
+	// here or not, and how long ago that was last known. It is called for each message.
+	NewestVersion() (version uint64, age time.Duration)
+	// Hear tells of a version that some member knew of so long ago.
+	Hear(version uint64, age time.Duration)
 }
 
 // Config is the set of choices of one Gossip. Zero fields take the defaults.
@@ -240,8 +240,8 @@
 // noDelegate stands for a process without configuration.
 type noDelegate struct{}
 
-func (noDelegate) LocalVersion() uint64         { return 0 }
-func (noDelegate) Payload() (uint64, []byte)    { return 0, nil }
-func (noDelegate) Offer(string, uint64, []byte) {}
-func (noDelegate) NewestVersion() uint64        { return 0 }
-func (noDelegate) Hear(uint64)                  {}
+func (noDelegate) LocalVersion() uint64                   { return 0 }
+func (noDelegate) Payload() (uint64, []byte)              { return 0, nil }
+func (noDelegate) Offer(string, uint64, []byte)           {}
+func (noDelegate) NewestVersion() (uint64, time.Duration) { return 0, 0 }
+func (noDelegate) Hear(uint64, time.Duration)             {}
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+const (
+	// newsHop is what each hop adds to the age of a version that is only known of.
+	// It is above the time of a message, so that the age rises on any way round.
+	newsHop = time.Second
+	// maxNewestAge keeps an age far from overflow, in milliseconds.
+	maxNewestAge = 1 << 40
+)
+
 // replyRumors is the share of RumorBytes that a reply may carry.
 const replyRumors = 4
 
@@ -94,8 +102,8 @@
 // sign fills in what every message carries.
 func (g *Gossip) sign(m *Message) {
 	m.Version = g.cfg.Delegate.LocalVersion()
-	if newest := g.cfg.Delegate.NewestVersion(); newest > m.Version {
-		m.Newest = newest
+	if newest, age := g.cfg.Delegate.NewestVersion(); newest > m.Version {
+		m.Newest, m.NewestAge = newest, uint64(max(age, 0).Milliseconds())
 	}
 	g.mu.Lock()
 	m.From = string(g.table.self.id[:])
@@ -106,10 +114,12 @@
 // afterMessage acts on what a message brought: rumors to forward, or a higher
 // configuration version to hear of or to fetch.
 func (g *Gossip) afterMessage(from memberID, m *Message) {
-	if newest := max(m.Version, m.Newest); newest > g.cfg.Delegate.NewestVersion() {
-		g.cfg.Delegate.Hear(newest)
+	if m.Newest > m.Version {
+		age := time.Duration(min(m.NewestAge, maxNewestAge)) * time.Millisecond
+		g.cfg.Delegate.Hear(m.Newest, age+newsHop)
 	}
 	if m.Version > g.cfg.Delegate.LocalVersion() {
+		g.cfg.Delegate.Hear(m.Version, 0)
 		g.fetch(from, m.Version)
 	}
 	g.mu.Lock()
--- a/membership/message.go
+++ b/membership/message.go
@@ -95,8 +95,10 @@
 	// that Data is packed.
 	Packed bool
 	// Newest is the highest version that the sender knows of, set where it is
-	// above Version: the sender has refused it, or not got it yet.
-	Newest uint64
+	// above Version: the sender has refused it, or not got it yet. NewestAge is how
+	// long ago it was last known, in milliseconds.
+	Newest    uint64
+	NewestAge uint64
 }
 
 // validate refuses a message with any malformed field.
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -66,13 +66,13 @@
 	}
 }
 
-func (d *testConfig) NewestVersion() uint64 {
+func (d *testConfig) NewestVersion() (uint64, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return max(d.version, d.heard)
+	return max(d.version, d.heard), 0
 }
 
-func (d *testConfig) Hear(version uint64) {
+func (d *testConfig) Hear(version uint64, _ time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heard = max(d.heard, version)
--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -40,7 +40,7 @@
 		watching, _ := f.addLogged("watching", "desk", echo)
 		hearing, log := f.addLogged("hearing", "desk", echo, withoutPlatform)
 		f.settle()
-		f.c.Check(hearing.config.Behind(), qt.IsFalse)
+		f.c.Check(hearing.behind(), qt.IsFalse)
 		f.storeUnreadable()
 		time.Sleep(20 * time.Second)
 		for _, n := range []*Node{watching, hearing} {
--- a/node/changes.go
+++ b/node/changes.go
@@ -127,8 +127,9 @@
 
 // behindSeen follows for how many looks a version has been missing here.
 type behindSeen struct {
-	version uint64
-	looks   int
+	looks int
+	// reported is the version that was last reported as missing.
+	reported uint64
 }
 
 // brownoutSeen is how many stored answers a profile had given, and for how
@@ -169,15 +170,17 @@
 // newest.
 func (n *Node) reportBehind() {
 	seen := &n.changes.behind
-	newest := n.config.Newest()
-	if newest != seen.version || !n.config.Behind() {
-		*seen = behindSeen{version: newest}
+	if !n.behind() {
+		seen.looks = 0
 		return
 	}
 	seen.looks++
-	if seen.looks == behindLooks {
-		n.log.Emit(observe.ConfigBehind, observe.Int64("version", int64(n.ConfigVersion())), observe.Int64("newest", int64(newest)))
+	newest, _ := n.config.Newest(n.now())
+	if seen.looks < behindLooks || newest == seen.reported {
+		return
 	}
+	seen.reported = newest
+	n.log.Emit(observe.ConfigBehind, observe.Int64("version", int64(n.ConfigVersion())), observe.Int64("newest", int64(newest)))
 }
 
 func (n *Node) reportLevel() {
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -28,7 +28,7 @@
 	// returns its status code.
 	WriteRefusal(h http.Header, r NodeRefusal) (status int)
 	// DecodeConfig reads a configuration as the operators of this dialect
-	// store it.
+	// store it. With an error, the set has its version if that can be read.
 	DecodeConfig(value []byte) (config.Set, error)
 }
 
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -68,6 +68,7 @@
 		case <-tick.C:
 		}
 		n.keys.Sync(ctx, syncLimit)
+		n.tellStored()
 		n.reportChanges()
 		n.tellWorkTimes()
 		if count%sweepEvery == 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -108,6 +108,10 @@
 	stop      context.CancelFunc
 	done      sync.WaitGroup
 	requestID atomic.Uint64
+	// storedVersion is what the platform was last seen to hold; unreadable tells
+	// that the one it holds now has no version that can be read.
+	storedVersion atomic.Uint64
+	unreadable    atomic.Bool
 	// configSince is when the configuration in force was accepted, in
 	// nanoseconds of the Unix epoch.
 	configSince atomic.Int64
--- a/node/routed.go
+++ b/node/routed.go
@@ -142,7 +142,7 @@
 // or refuses it, answers that there is no such route. Callers take that for final.
 func (n *Node) refuseUnrouted() *answer {
 	reason, retry := call.ReasonNoRoute, time.Duration(0)
-	if n.config.Behind() {
+	if n.behind() {
 		reason, retry = call.ReasonConfigBehind, behindRetry
 	}
 	n.metrics.Unrouted.With(string(reason)).Inc(1)
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -60,7 +61,11 @@
 }
 
 func (plainDialect) DecodeConfig(value []byte) (config.Set, error) {
-	return config.Parse(value, config.YAML)
+	set, err := config.Parse(value, config.YAML)
+	if err != nil {
+		_, _ = fmt.Sscanf(string(value), "version: %d", &set.Version)
+	}
+	return set, err
 }
 
 // routedSet has one repeatable and one unrepeatable route to each service.
--- a/node/sync.go
+++ b/node/sync.go
@@ -33,10 +33,16 @@
 }
 
 // NewestVersion implements membership.Delegate.
-func (d *gossipDelegate) NewestVersion() uint64 { return d.node.config.Newest() }
+func (d *gossipDelegate) NewestVersion() (uint64, time.Duration) {
+	now := d.node.now()
+	version, at := d.node.config.Newest(now)
+	return version, now.Sub(at)
+}
 
 // Hear implements membership.Delegate.
-func (d *gossipDelegate) Hear(version uint64) { d.node.config.Hear(version) }
+func (d *gossipDelegate) Hear(version uint64, age time.Duration) {
+	d.node.config.Hear(version, d.node.now().Add(-age))
+}
 
 // offerConfig takes a configuration that is valid and higher, and passes the
 // news on.
@@ -167,9 +173,31 @@
 		n.takeSpokenConfig(o)
 		return
 	}
+	n.noteStored(config.StoredVersion(o.Value))
 	n.noteOffer(n.config.OfferObject(o))
 }
 
+// noteStored notes which version the platform holds, as far as it can be read.
+func (n *Node) noteStored(version uint64, readable bool) {
+	n.unreadable.Store(!readable)
+	if readable {
+		n.storedVersion.Store(version)
+		n.tellStored()
+	}
+}
+
+// tellStored keeps the news fresh of a version that the platform holds and that is
+// not in force here, for those that do not watch the platform.
+func (n *Node) tellStored() {
+	if version := n.storedVersion.Load(); version > n.ConfigVersion() {
+		n.config.Hear(version, n.now())
+	}
+}
+
+// behind tells whether a later configuration than the one in force is known of, or
+// the platform holds one of which not even the version can be read.
+func (n *Node) behind() bool { return n.unreadable.Load() || n.config.Behind(n.now()) }
+
 // configObject names the object that holds the configuration.
 func (n *Node) configObject() (kind, name string) {
 	if n.settings.ConfigKind == "" {
@@ -181,12 +209,11 @@
 // takeSpokenConfig takes a configuration in the form of the dialect.
 func (n *Node) takeSpokenConfig(o objects.Object) {
 	set, err := n.settings.Dialect.DecodeConfig(o.Value)
+	n.noteStored(set.Version, err == nil || set.Version > 0)
 	if err != nil {
-		n.config.HearUnreadable()
 		n.noteOffer(false, err)
 		return
 	}
-	n.config.Hear(set.Version)
 	n.noteOffer(n.config.OfferSet(set, config.SourcePlatform))
 }
 
