node: the next version ends the state of one that could not be read

Cause: a node that had seen an unreadable configuration on the platform and then left the watch to others answered 503 in place of 404 for good, though a later version was in force. Change: an accepted version clears it. TestNextVersionEndsAnUnreadableOne fails before.

--- a/node/stale_news_test.go
+++ b/node/stale_news_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollengauge.dev/config"
+	"pollengauge.dev/objects"
 )
 
 // A node can't read the stored configuration, and has that very version from a peer
@@ -32,6 +33,23 @@
 	})
 }
 
+// The platform held a configuration without a version that can be read, and a node
+// that watched it then leaves that to others. The operators' next version comes
+// through a peer. From then on a route that isn't there must not be said to be on its
+// way for good.
+func TestNextVersionEndsAnUnreadableOne(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("vm", "desk", 10, echo)
+		f.settle()
+		n.takeConfig(objects.Object{Kind: config.ObjectKind, Name: config.ObjectName, Value: []byte("{")})
+		f.c.Check(f.askRouted(n, "/nowhere/x", "a").reason, qt.Equals, "config-behind")
+		next, err := config.Parse([]byte(strings.Replace(routedSet, "version: 1", "version: 2", 1)), config.YAML)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(n.OfferConfig(next), qt.IsNil)
+		f.c.Check(f.askRouted(n, "/nowhere/x", "b").reason, qt.Equals, "no-route")
+	})
+}
+
 // One node hears of a version that nobody wrote. Told from node to node for ever, it
 // would outlive that node, and callers without a route would be told to come back by
 // every node, also those that start later.
--- a/node/sync.go
+++ b/node/sync.go
@@ -69,6 +69,9 @@
 	case err != nil:
 		n.log.Emit(observe.ConfigRefused, observe.Err(err))
 	case accepted:
+		// It came after the one without a version, which nothing else would tell a
+		// node that no longer watches the platform.
+		n.unreadable.Store(false)
 		n.configSince.Store(n.now().UnixNano())
 		status := n.config.Status()
 		n.log.Emit(observe.ConfigAccepted, observe.Int64("version", int64(status.Version)), observe.Str("source", string(status.Source)))
