spec: answers behind one another, a restart under an id, the way of a configuration

Cause: three protocols had tests and no exhaustive search: requests begun early on a connection, an upstream's lives under one id, and how nodes come to know of a version that they can't use. Change: pipeline.pml, restart.pml and spread.pml, with 12, 11 and 9 safeguards that can be left out, and rows in check.sh. Two rows show bounds that are known not to hold: a clock that is set back, and a version whose number can't be read.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -63,6 +63,16 @@
 check holds config safety 'no reversion; accepted if and only if stored'
 check holds config liveness 'in force everywhere in the end' -DLIVENESS
 check holds config liveness 'nodes agree in an outage without end' -DLIVENESS -DOUTAGE_FOREVER
+check holds pipeline safety 'answers in order, own, none lost; unrepeatable in turn'
+check holds restart safety 'no farewell ends a later life, none that left returns' -DLIVES=3
+check holds restart liveness 'the life that goes on gets calls in the end' -DLIVENESS
+check holds restart liveness 'the same with a clock that is set back' -DLIVENESS -DCLOCK_BACK
+check holds spread safety 'no reversion; no such route is true'
+check holds spread liveness 'who is in touch gets it and hears of it' -DLIVENESS
+
+# Bounds of what is promised: these are known not to hold.
+check error restart safety 'clock set back: an earlier life may return for a while' -DCLOCK_BACK
+check error spread safety 'a version of which not even the number can be read' -DUNREADABLE
 
 lacks() {
 	spec=$1 kind=$2 safeguard=$3
@@ -87,6 +97,23 @@
 for safeguard in GOSSIP RELIST RESEND; do
 	lacks config liveness $safeguard -DLIVENESS
 done
+for safeguard in REPEATABLE_ONLY SAFE_METHOD CLOSE_WAITS WAIT_BEHIND WRITE_FIRST ORDER \
+	SAME_REQUEST LET_GO LAST LAST_STOPS BREAK DROP; do
+	lacks pipeline safety $safeguard
+done
+for safeguard in BORN SEQUENCE LEFT_SEQUENCE FAREWELL_BORN FAREWELL_KEPT FAREWELL_HEARD LOCK GOSSIP_ORDER; do
+	lacks restart safety $safeguard
+done
+lacks restart liveness NEW_SEQUENCE -DLIVENESS
+for safeguard in SILENCE REPEAT; do
+	lacks restart liveness $safeguard -DLIVENESS -DCLOCK_BACK
+done
+for safeguard in HIGHER_ONLY BEHIND LOOKED_UP HEAR_READ HEAR_PEER; do
+	lacks spread safety $safeguard
+done
+for safeguard in RELAY REFUSED_PER_VERSION RETRY REREAD; do
+	lacks spread liveness $safeguard -DLIVENESS
+done
 
 if [ $deviations -ne 0 ]; then
 	echo "$deviations deviations"
