bench: the network with distances between zones stands by itself

Cause: a second benchmark in virtual time needs hosts in availability zones, and goodput kept them to itself.

--- a/bench/goodput/cluster.go
+++ b/bench/goodput/cluster.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
+	"pollengauge.dev/bench/internal/zonenet"
 	"pollengauge.dev/config"
 	"pollengauge.dev/demo"
 	"pollengauge.dev/demo/baseline"
 	"pollengauge.dev/demo/upstream"
 	"pollengauge.dev/node"
-	"pollengauge.dev/node/testing/memnet"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/standin"
 )
@@ -29,6 +29,9 @@
 	plainTimeout = time.Second
 )
 
+// clientHost is where the load comes from. The load adds its own delay.
+const clientHost = "client"
+
 // reporting is how the replicas of a service report their load: the first
 // honestly, the second late, the third claims to be idle.
 var reporting = []upstream.Reporting{{Factor: 1}, {Factor: 1, Lag: 2 * time.Second}, {Factor: 0}}
@@ -45,7 +48,7 @@
 type cluster struct {
 	deployment *demo.Deployment
 	system     System
-	network    *memnet.Network
+	network    *zonenet.Network
 	store      objects.Store
 	registry   *baseline.Registry
 	ledger     *upstream.Ledger
@@ -59,7 +62,7 @@
 	c := &cluster{
 		deployment: d,
 		system:     s,
-		network:    newNetwork(d),
+		network:    zonenet.New(zonenet.Distances{Zone: d.ZoneDelay, Connect: d.ConnectDelay, Client: clientHost}),
 		store:      standin.NewMemory(),
 		registry:   baseline.NewRegistry(),
 		ledger:     upstream.NewLedger(),
@@ -84,7 +87,7 @@
 // boot starts one VM.
 func (c *cluster) boot(ctx context.Context, service demo.Service, replica int, seed uint64) error {
 	zone := c.deployment.Zones[replica%len(c.deployment.Zones)]
-	host := newHostNetwork(c.deployment, c.network, service.Name+"."+zone)
+	host := c.network.Host(zonenet.HostName(service.Name, zone))
 	u, err := upstream.New(upstream.Settings{
 		Service:     service.Name,
 		Replica:     replica,
@@ -108,7 +111,7 @@
 }
 
 // forward starts a plain forwarder beside v.
-func (c *cluster) forward(v *vm, host *hostNetwork) error {
+func (c *cluster) forward(v *vm, host *zonenet.Host) error {
 	f, err := baseline.Start(baseline.Settings{
 		Service:        v.service,
 		Upstream:       v.upstream.Addr(),
@@ -117,8 +120,8 @@
 		Attempts:       c.system.Attempts,
 		AttemptTimeout: plainTimeout,
 		Listen:         host.Listen,
-		Dial:           host.dialContext,
-		DialLocal:      host.dialContext,
+		Dial:           host.DialContext,
+		DialLocal:      host.DialContext,
 	})
 	if err != nil {
 		return err
@@ -130,7 +133,7 @@
 }
 
 // attach starts a node beside v.
-func (c *cluster) attach(ctx context.Context, v *vm, host *hostNetwork, zone string) error {
+func (c *cluster) attach(ctx context.Context, v *vm, host *zonenet.Host, zone string) error {
 	settings := node.DefaultSettings()
 	settings.Service = v.service
 	settings.Zone = zone
--- a/bench/goodput/run.go
+++ b/bench/goodput/run.go
@@ -51,7 +51,7 @@
 		Edges:       func(service string) []string { return c.edges[service] },
 		Delay:       d.ClientDelay,
 		MaxInFlight: inFlightBound,
-		Dial:        newHostNetwork(d, c.network, clientHost).dialContext,
+		Dial:        c.network.Host(clientHost).DialContext,
 	}
 	if cfg.System.Limiter == nil {
 		runner.MintPath = node.KeyPath
