--- /dev/null
+++ b/bench/experiment/report.go
@@ -0,0 +1,178 @@
+package experiment
+
+import (
+	"cmp"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+
+	"pollengauge.dev/bench/experiment/bound"
+	"pollengauge.dev/bench/experiment/compare"
+	"pollengauge.dev/bench/experiment/play"
+	"pollengauge.dev/bench/experiment/workload"
+)
+
+// Report is what an experiment showed.
+type Report struct {
+	Workload string          `json:"workload"`
+	Variants []VariantReport `json:"variants"`
+	Plays    []Play          `json:"plays"`
+}
+
+// VariantReport is one variant beside the first.
+type VariantReport struct {
+	Variant string `json:"variant"`
+	Nodes   int    `json:"nodes"`
+	// Bound is the worth a second that the slots could earn at most.
+	Bound   float64  `json:"bound"`
+	Plays   int      `json:"plays"`
+	Metrics []Metric `json:"metrics"`
+}
+
+// Metric is one measure of a variant.
+type Metric struct {
+	Name string  `json:"name"`
+	Unit string  `json:"unit"`
+	Mean float64 `json:"mean"`
+	// Difference is from the first variant, over the seeds that both have. It
+	// is nil for the first.
+	Difference *compare.Difference `json:"difference,omitempty"`
+}
+
+// measure takes one figure from a play; ok is false if the play has none.
+type measure struct {
+	name, unit string
+	of         func(r *play.Result) (value float64, ok bool)
+}
+
+const percent = 100
+
+// measuresOf lists the measures of a workload whose variants have these kinds.
+func measuresOf(kinds []string) []measure {
+	always := func(of func(r *play.Result) float64) func(*play.Result) (float64, bool) {
+		return func(r *play.Result) (float64, bool) { return of(r), true }
+	}
+	measures := []measure{
+		{"worth", "a second", always(func(r *play.Result) float64 { return r.Worth })},
+		{"tries", "an operation", always(func(r *play.Result) float64 { return r.Tries })},
+		{"ran twice", "operations", always(func(r *play.Result) float64 { return float64(r.RanTwice) })},
+	}
+	for _, kind := range kinds {
+		of := func(value func(k *play.KindResult) float64) func(*play.Result) (float64, bool) {
+			return func(r *play.Result) (float64, bool) {
+				i := slices.IndexFunc(r.Kinds, func(k play.KindResult) bool { return k.Kind == kind })
+				if i < 0 || r.Kinds[i].Began == 0 {
+					return 0, false
+				}
+				return value(&r.Kinds[i]), true
+			}
+		}
+		measures = append(measures,
+			measure{kind + " worth", "%", of(func(k *play.KindResult) float64 { return percent * k.Worth })},
+			measure{kind + " answered", "%", of(func(k *play.KindResult) float64 { return percent * k.Answered })},
+			measure{kind + " refused", "%", of(func(k *play.KindResult) float64 { return percent * k.Refused })},
+			measure{kind + " lost", "%", of(func(k *play.KindResult) float64 { return percent * k.Lost })},
+			measure{kind + " p99", "ms", of(func(k *play.KindResult) float64 { return float64(k.P99.Milliseconds()) })},
+		)
+	}
+	return measures
+}
+
+func newReport(file *workload.File, plays []Play) (*Report, error) {
+	plays = slices.Clone(plays)
+	slices.SortFunc(plays, func(a, b Play) int {
+		return cmp.Or(cmp.Compare(a.Seed, b.Seed), cmp.Compare(a.Variant, b.Variant))
+	})
+	report := &Report{Plays: plays}
+	var measures []measure
+	for i, name := range file.Variants() {
+		w, err := file.Workload(name)
+		if err != nil {
+			return nil, err
+		}
+		if i == 0 {
+			report.Workload = w.Name
+			measures = measuresOf(kindNames(w))
+		}
+		most, err := bound.Most(w)
+		if err != nil {
+			return nil, err
+		}
+		v := VariantReport{Variant: name, Nodes: w.Nodes(), Bound: most, Plays: len(report.of(name))}
+		for _, m := range measures {
+			v.Metrics = append(v.Metrics, report.metric(m, name, file.Variants()[0]))
+		}
+		report.Variants = append(report.Variants, v)
+	}
+	return report, nil
+}
+
+func kindNames(w *workload.Workload) []string {
+	names := make([]string, len(w.Kinds))
+	for i, k := range w.Kinds {
+		names[i] = k.Name
+	}
+	return names
+}
+
+// of returns the plays of a variant by seed.
+func (r *Report) of(variant string) []*Play {
+	var plays []*Play
+	for i := range r.Plays {
+		if r.Plays[i].Variant == variant {
+			plays = append(plays, &r.Plays[i])
+		}
+	}
+	return plays
+}
+
+// metric sums up one measure of a variant and compares it with the first.
+func (r *Report) metric(m measure, variant, first string) Metric {
+	values := r.values(m, variant)
+	out := Metric{Name: m.name, Unit: m.unit}
+	if len(values) > 0 {
+		all := make([]float64, 0, len(values))
+		for _, p := range r.of(variant) {
+			if value, ok := values[p.Seed]; ok {
+				all = append(all, value)
+			}
+		}
+		out.Mean = stat.Mean(all, nil)
+	}
+	if variant == first {
+		return out
+	}
+	var base, changed []float64
+	firsts := r.values(m, first)
+	for _, p := range r.of(variant) {
+		value, ok := values[p.Seed]
+		paired, has := firsts[p.Seed]
+		if ok && has {
+			base = append(base, paired)
+			changed = append(changed, value)
+		}
+	}
+	difference := compare.Paired(base, changed)
+	out.Difference = &difference
+	return out
+}
+
+// values are those of a measure by seed.
+func (r *Report) values(m measure, variant string) map[uint64]float64 {
+	values := make(map[uint64]float64)
+	for _, p := range r.of(variant) {
+		if value, ok := m.of(&p.Result); ok {
+			values[p.Seed] = value
+		}
+	}
+	return values
+}
+
+// RanTwice counts the unrepeatable operations of all plays that ran twice.
+func (r *Report) RanTwice() int {
+	sum := 0
+	for i := range r.Plays {
+		sum += r.Plays[i].Result.RanTwice
+	}
+	return sum
+}
