--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -144,3 +144,16 @@
 	c.Check(strings.Contains(report.String(), "+3.00 ["), qt.IsTrue, qt.Commentf("%s", report))
 	c.Check(report.Variants[0].Metrics[3].Mean, qt.Equals, 0.0)
 }
+
+// A mechanism that is switched off may well let an operation run twice. With all
+// of them it may not.
+func TestOnlyWholeVariantsBreakPromises(t *testing.T) {
+	c := qt.New(t)
+	file, err := workload.Parse([]byte(tiny + "  - {name: unsafe, ablate: [NoSealing]}\n"))
+	c.Assert(err, qt.IsNil)
+	report, err := newReport(file, []Play{
+		{Variant: "all", Seed: 1}, {Variant: "slow", Seed: 1, Result: play.Result{RanTwice: 1}}, {Variant: "unsafe", Seed: 1, Result: play.Result{RanTwice: 7}},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(report.RanTwice(), qt.Equals, 1)
+}
--- a/cmd/pollengauge/internal/cli/bench.go
+++ b/cmd/pollengauge/internal/cli/bench.go
@@ -7,6 +7,7 @@
 var benchmarks = []func() *cobra.Command{
 	newBenchHopCommand,
 	newBenchControlCommand,
+	newBenchExperimentCommand,
 }
 
 func newBenchCommand() *cobra.Command {
