bench: plays end when told while their nodes start, and with faults under way

Cause: Ctrl-C waited for hundreds of nodes to find one another, and a slot count was read beside handlers that still ran. Change: stopping is asked for at each node and while they join; the count is read under its lock. Tests: stop at four moments, faults that outlive the play.

--- a/bench/experiment/play/fleet.go
+++ b/bench/experiment/play/fleet.go
@@ -73,7 +73,8 @@
 	delays map[string]time.Duration
 }
 
-func newFleet(ctx context.Context, w *workload.Workload, seed uint64, m *meter) (*fleet, error) {
+// newFleet starts all VMs. stopped is as for Run.
+func newFleet(ctx context.Context, w *workload.Workload, seed uint64, m *meter, stopped func() bool) (*fleet, error) {
 	f := &fleet{
 		workload: w,
 		set:      configuration(w),
@@ -85,21 +86,32 @@
 		delays:   make(map[string]time.Duration),
 	}
 	f.network.SetDelay(f.delay)
-	for i := range w.Services {
-		for replica := range w.Services[i].Replicas {
-			if err := f.add(ctx, &w.Services[i], replica); err != nil {
-				f.close()
-				return nil, err
-			}
-		}
+	err := f.start(ctx, stopped)
+	if err == nil {
+		err = f.join(ctx, stopped)
 	}
-	if !f.join(ctx) {
+	if err != nil {
 		f.close()
-		return nil, &StartError{}
+		return nil, err
 	}
 	return f, nil
 }
 
+func (f *fleet) start(ctx context.Context, stopped func() bool) error {
+	for i := range f.workload.Services {
+		s := &f.workload.Services[i]
+		for replica := range s.Replicas {
+			if stopped() {
+				return &StoppedError{}
+			}
+			if err := f.add(ctx, s, replica); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (f *fleet) add(ctx context.Context, s *workload.Service, replica int) error {
 	zone := "zone-" + strconv.Itoa(len(f.vms)%f.workload.Network.Zones)
 	name := zonenet.HostName(s.Name+"-"+strconv.Itoa(replica), zone)
@@ -208,16 +220,18 @@
 }
 
 // join waits until every node knows all others.
-func (f *fleet) join(ctx context.Context) bool {
+func (f *fleet) join(ctx context.Context, stopped func() bool) error {
 	for range int(joinTimeout / joinPoll) {
-		if f.joined() {
-			return objects.Pause(ctx, learnTime)
+		if stopped() {
+			return &StoppedError{}
 		}
-		if !objects.Pause(ctx, joinPoll) {
-			return false
+		if f.joined() {
+			objects.Pause(ctx, learnTime)
+			return nil
 		}
+		objects.Pause(ctx, joinPoll)
 	}
-	return false
+	return &StartError{}
 }
 
 func (f *fleet) joined() bool {
--- a/bench/experiment/play/meter.go
+++ b/bench/experiment/play/meter.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// heldBy returns the time that slots of a service were held.
+func (m *meter) heldBy(service string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.slots[service]
+}
+
 // ran notes a run of an unrepeatable operation.
 func (m *meter) ran(operation string) {
 	m.mu.Lock()
--- a/bench/experiment/play/play_test.go
+++ b/bench/experiment/play/play_test.go
@@ -73,15 +73,29 @@
 	c.Check(last > 50, qt.IsTrue, qt.Commentf("%+v", r.Ranks))
 }
 
+// The play ends while a VM is away, another one paused and a third one cut off.
+// All that runs must end with it, or the bubble can't.
+func TestFaultsThatOutliveThePlay(t *testing.T) {
+	c := qt.New(t)
+	r := playOf(c, surge+`faults:
+  - {kind: crash, at: 7s, for: 1h, service: deep, replicas: [0]}
+  - {kind: freeze, at: 7s, for: 1h, service: front, replicas: [1]}
+  - {kind: cut, at: 7s, for: 1h, service: front, with: deep}
+`)
+	c.Check(r.Kinds[0].Answered < 1, qt.IsTrue, qt.Commentf("%+v", r.Kinds))
+}
+
 func TestStop(t *testing.T) {
 	c := qt.New(t)
 	f, err := workload.Parse([]byte(surge))
 	c.Assert(err, qt.IsNil)
 	w, err := f.Workload(f.Variants()[0])
 	c.Assert(err, qt.IsNil)
-	asked := 0
-	_, err = Run(w, 1, func() bool { asked++; return asked > 10 })
-	c.Check(err, qt.DeepEquals, &StoppedError{})
+	for _, after := range []int{0, 2, 5, 100} {
+		asked := 0
+		_, err = Run(w, 1, func() bool { asked++; return asked > after })
+		c.Check(err, qt.DeepEquals, &StoppedError{}, qt.Commentf("asked %d times", after))
+	}
 }
 
 func TestPlanFollowsTheLoad(t *testing.T) {
--- a/bench/experiment/play/result.go
+++ b/bench/experiment/play/result.go
@@ -72,7 +72,7 @@
 	}
 	r.Tries = share(float64(tries), began)
 	for _, s := range w.Services {
-		held := m.slots[s.Name].Seconds() / seconds
+		held := m.heldBy(s.Name).Seconds() / seconds
 		r.Services = append(r.Services, ServiceResult{Service: s.Name, Busy: held / float64(s.Slots*s.Replicas)})
 	}
 	return r
--- a/bench/experiment/play/run.go
+++ b/bench/experiment/play/run.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	m := newMeter()
-	f, err := newFleet(ctx, w, seed, m)
+	f, err := newFleet(ctx, w, seed, m, stopped)
 	if err != nil {
 		return Result{}, err
 	}
