bench: an experiment without plays shows no zeros, room for the plot's legend

Cause: after Ctrl-C in the first play the table told zeros as if measured, and the legend of the plot hid the lines. Change: a mean without values is a dash, null in JSON; the plot has headroom.

--- a/bench/experiment/experiment_test.go
+++ b/bench/experiment/experiment_test.go
@@ -42,7 +42,7 @@
 	c.Check(report.Variants[1].Plays, qt.Equals, 2)
 	c.Check(told, qt.HasLen, 5)
 	c.Check(told[4].Done, qt.Equals, 4)
-	c.Check(report.Variants[0].Metrics[0].Mean > 30, qt.IsTrue)
+	c.Check(*report.Variants[0].Metrics[0].Mean > 30, qt.IsTrue)
 	c.Check(report.Variants[0].Bound >= 49, qt.IsTrue)
 	c.Check(report.RanTwice(), qt.Equals, 0)
 	c.Check(report.String(), qt.Contains, "view answered")
@@ -137,12 +137,13 @@
 	})
 	c.Assert(err, qt.IsNil)
 	base, slow := report.Variants[0].Metrics[0], report.Variants[1].Metrics[0]
-	c.Check(base.Mean, qt.Equals, 40.0)
+	c.Check(*base.Mean, qt.Equals, 40.0)
 	c.Check(base.Difference, qt.IsNil)
-	c.Check(slow.Mean, qt.Equals, 18.0)
+	c.Check(*slow.Mean, qt.Equals, 18.0)
 	c.Check(*slow.Difference, qt.DeepEquals, compare.Paired([]float64{10, 20}, []float64{11, 25}))
 	c.Check(strings.Contains(report.String(), "+3.00 ["), qt.IsTrue, qt.Commentf("%s", report))
-	c.Check(report.Variants[0].Metrics[3].Mean, qt.Equals, 0.0)
+	// No play tells of the kind.
+	c.Check(report.Variants[0].Metrics[3].Mean, qt.IsNil)
 }
 
 // A mechanism that is switched off may well let an operation run twice. With all
@@ -157,3 +158,16 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(report.RanTwice(), qt.Equals, 1)
 }
+
+// A run that was stopped before its first play has no figures. Shown as zeros they
+// would be taken for measured.
+func TestNothingPlayedShowsNothing(t *testing.T) {
+	c := qt.New(t)
+	cfg := configOf(c)
+	ctx, stop := context.WithCancel(c.Context())
+	stop()
+	report, err := Run(ctx, cfg)
+	c.Check(err, qt.DeepEquals, &StoppedError{Total: 4})
+	c.Check(report.String(), qt.Matches, `(?s).*worth +a second +- +-\n.*`)
+	c.Check(report.WritePlot(&bytes.Buffer{}), qt.IsNil)
+}
--- a/bench/experiment/plot.go
+++ b/bench/experiment/plot.go
@@ -18,6 +18,8 @@
 	// plotHeight is that of one rank.
 	plotHeight = 8 * vg.Centimeter
 	lineWidth  = vg.Length(1.5)
+	// headroom is above the highest line, for the legend.
+	headroom = 1.3
 )
 
 // WritePlot writes an SVG of the worth that was served over time: one part for
@@ -77,6 +79,7 @@
 		p.Add(line)
 		p.Legend.Add(v.Variant, line)
 	}
+	p.Y.Max *= headroom
 	return p, nil
 }
 
--- a/bench/experiment/report.go
+++ b/bench/experiment/report.go
@@ -34,9 +34,10 @@
 
 // Metric is one measure of a variant.
 type Metric struct {
-	Name string  `json:"name"`
-	Unit string  `json:"unit"`
-	Mean float64 `json:"mean"`
+	Name string `json:"name"`
+	Unit string `json:"unit"`
+	// Mean is nil if no play has the figure.
+	Mean *float64 `json:"mean"`
 	// Difference is from the first variant, over the seeds that both have. It
 	// is nil for the first.
 	Difference *compare.Difference `json:"difference,omitempty"`
@@ -140,7 +141,8 @@
 				all = append(all, value)
 			}
 		}
-		out.Mean = stat.Mean(all, nil)
+		mean := stat.Mean(all, nil)
+		out.Mean = &mean
 	}
 	if variant == first {
 		return out
--- a/bench/experiment/table.go
+++ b/bench/experiment/table.go
@@ -27,7 +27,7 @@
 	row(counts)
 	row(bounds)
 	for i, m := range first.Metrics {
-		cells := []string{m.Name, m.Unit, fmt.Sprintf("%.2f", m.Mean)}
+		cells := []string{m.Name, m.Unit, meanOf(m)}
 		for _, v := range r.Variants[1:] {
 			cells = append(cells, cellOf(v.Metrics[i].Difference))
 		}
@@ -37,6 +37,13 @@
 	return b.String()
 }
 
+func meanOf(m Metric) string {
+	if m.Mean == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", *m.Mean)
+}
+
 // cellOf shows one difference.
 func cellOf(d *compare.Difference) string {
 	switch {
