node: a farewell is a word of the life that it ends

Cause, found by a fuzz test against a plain reference: a farewell kept the time of the last announcement, and a node that hears one first had none. The silence seemed to have passed, so a late announcement of an earlier life of the upstream was taken, and callers were sent to an address at which nothing listens. Change: a farewell counts as heard.

--- a/node/lives_fuzz_test.go
+++ b/node/lives_fuzz_test.go
@@ -64,7 +64,7 @@
 			taken := real.fresh(Announcement{Instance: name, Born: born, Sequence: sequence}, now)
 			c.Assert(taken, qt.Equals, want[name].announced(life, sequence, now), qt.Commentf("step %d: life %d, sequence %d", step, life, sequence))
 		case wordFarewell:
-			taken := real.left(name, born)
+			taken := real.left(name, born, now)
 			c.Assert(taken, qt.Equals, want[name].farewell(life, now), qt.Commentf("step %d: farewell of life %d", step, life))
 		case wordWait:
 			now = now.Add(time.Duration(script[step+1]) * lifeSilence / 8)
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -105,7 +105,7 @@
 func (n *Node) Leaving(instance string, born int64) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	if !n.announced.left(instance, born) {
+	if !n.announced.left(instance, born, n.now()) {
 		n.log.Emit(observe.AnnouncementStale, observe.Str("instance", instance), observe.Int64("born", born))
 		return
 	}
@@ -212,12 +212,14 @@
 
 // left remembers that an incarnation has left, and reports whether that is news
 // of the latest life under its name. A born of 0 means the latest one.
-func (i *announcedInstances) left(instance string, born int64) bool {
+func (i *announcedInstances) left(instance string, born int64, now time.Time) bool {
 	last := i.lives[instance]
 	if born != 0 && born < last.born {
 		return false
 	}
-	i.set(instance, life{born: max(born, last.born), sequence: leftSequence, heard: last.heard})
+	// The farewell is a word of this life: silence before it says nothing of it, and
+	// an earlier one that was held up must not come back.
+	i.set(instance, life{born: max(born, last.born), sequence: leftSequence, heard: now})
 	return true
 }
 
