node/pipelining: nothing is begun that net/http may refuse, nor behind the end of a connection

Cause, found by the fuzz test against net/http: reads were begun for and behind requests that net/http refuses or closes after ("Connection: 0 Close", HTTP/2.1, a blank in the Host or in a field's name), and their answers dropped. Only repeatable reads, so a waste, not a fault for callers. Change: such requests wait for their turn.

--- a/node/pipelining/splitter.go
+++ b/node/pipelining/splitter.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 )
 
 // maxPending bounds the bytes of a connection that are looked at, in bytes: a
@@ -63,8 +65,7 @@
 // and returns the offset of its end, -1 where that isn't known (yet).
 func (s *splitter) serve(r *http.Request) int64 {
 	// After a request that ends the connection nothing is read any more.
-	last := r.Close || !r.ProtoAtLeast(1, 1)
-	if !s.lost && (last || !s.settleChunked() || s.skip > 0 || !s.startsWith(r)) {
+	if !s.lost && (endsConnection(r) || !s.settleChunked() || s.skip > 0 || !s.startsWith(r)) {
 		s.giveUp()
 	}
 	if s.lost {
@@ -165,12 +166,17 @@
 // mayBegin tells whether a request can be begun from its head alone and leaves
 // the connection open.
 func mayBegin(r *http.Request) bool {
-	if !safeMethod(r.Method) || !r.ProtoAtLeast(1, 1) || r.Close || r.Host == "" {
+	if !safeMethod(r.Method) || endsConnection(r) || !plainHost(r.Host) {
 		return false
 	}
 	if r.ContentLength != 0 || len(r.TransferEncoding) > 0 {
 		return false
 	}
+	for name := range r.Header {
+		if !plainName(name) {
+			return false
+		}
+	}
 	for _, name := range []string{"Expect", "Upgrade", "Trailer", "Content-Length"} {
 		if _, has := r.Header[name]; has {
 			return false
@@ -179,5 +185,30 @@
 	return true
 }
 
+// endsConnection tells whether net/http may end the connection with the answer to r.
+// It takes "close" between blanks for the token too, which Request.Close does not,
+// and refuses a protocol of another major version.
+func endsConnection(r *http.Request) bool {
+	if r.Close || r.ProtoMajor != 1 || r.ProtoMinor < 1 {
+		return true
+	}
+	return slices.ContainsFunc(r.Header["Connection"], func(value string) bool {
+		return strings.Contains(strings.ToLower(value), "close")
+	})
+}
+
+// plainHost tells whether net/http is sure to take a Host: it refuses some characters.
+func plainHost(host string) bool { return only(host, ".-_:[]") }
+
+// plainName is the same for the name of a field.
+func plainName(name string) bool { return only(name, "-_") }
+
+// only tells whether s has letters, digits and others alone.
+func only(s, others string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune(others, r)
+	})
+}
+
 // safeMethod tells the methods of the reads that callers send behind one another.
 func safeMethod(method string) bool { return method == http.MethodGet || method == http.MethodHead }
