--- a/membership/silentpeer_test.go
+++ b/membership/silentpeer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,21 +10,24 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// answering is a transport on which a peer never answers a pull while hung.
+// answering is a transport on which no peer answers.
 type answering struct {
-	hung  bool
+	mu    sync.Mutex
 	pulls []time.Time
 	ends  []time.Time
 }
 
 func (a *answering) Exchange(ctx context.Context, _ string, m *Message) (*Message, error) {
-	if m.Kind == KindPull {
-		a.pulls = append(a.pulls, time.Now())
+	note := func(at *[]time.Time) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if m.Kind == KindPull {
+			*at = append(*at, time.Now())
+		}
 	}
+	note(&a.pulls)
 	<-ctx.Done()
-	if m.Kind == KindPull {
-		a.ends = append(a.ends, time.Now())
-	}
+	note(&a.ends)
 	return nil, ctx.Err()
 }
 
@@ -37,7 +41,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		config := &testConfig{}
-		link := &answering{hung: true}
+		link := &answering{}
 		g, err := New(Config{
 			Self:      Member{ID: NewID(), Service: "filing", Addr: "own:1", GossipAddr: "own:1", Zone: "a", Region: "hu-central"},
 			Transport: link, Delegate: config,
@@ -72,7 +76,7 @@
 func TestSilentPeerDoesNotHoldTheVersionBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		link := &answering{hung: true}
+		link := &answering{}
 		g, err := New(Config{
 			Self:      Member{ID: NewID(), Service: "filing", Addr: "own:1", GossipAddr: "own:1", Zone: "a", Region: "hu-central"},
 			Transport: link, Delegate: &testConfig{},
