node: a version that comes into force while a route is looked up is later

Cause, found by the model of a configuration's way: the route was looked up in one version and the answer chosen by the next one, so a request on a route of the new version that came in just then was told that there is none. Change: the answer is chosen by the version in which the route was looked up. TestVersionThatComesMeanwhileIsLater fails before (as a call without the version).

--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 )
 
@@ -53,6 +54,21 @@
 	})
 }
 
+// A request's route is looked up in one version, and the next one, which has it, comes
+// into force before the request is refused. Compared with the version in force by
+// then, the node would seem to be up to date and its answer final.
+func TestVersionThatComesMeanwhileIsLater(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("vm", "desk", 10, echo)
+		lookedUp := n.ConfigVersion()
+		f.c.Check(n.refuseUnrouted(lookedUp).report.Reason, qt.Equals, call.ReasonNoRoute)
+		next, err := config.Parse([]byte(strings.Replace(routedSet, "version: 1", "version: 2", 1)), config.YAML)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(n.OfferConfig(next), qt.IsNil)
+		f.c.Check(n.refuseUnrouted(lookedUp).report.Reason, qt.Equals, call.ReasonConfigBehind)
+	})
+}
+
 // Operators add a route, and this node hears that there is a later version before
 // it has it, or can't read it at all. A caller on the new route is told that there
 // is no such route, and never asks again. It must be told to come back, until the
--- a/node/routed.go
+++ b/node/routed.go
@@ -102,7 +102,7 @@
 	current := n.config.Current()
 	route := current.Route(hostOf(r.Host), rawPath(r))
 	if route == nil {
-		return nil, n.refuseUnrouted()
+		return nil, n.refuseUnrouted(current.Version())
 	}
 	service := pickShare(route.Shares, rand.Uint64())
 	if service == "" {
@@ -135,14 +135,15 @@
 	return req, nil
 }
 
-// refuseUnrouted refuses a request for which the configuration in force has no
-// route. While a later one is known to exist, that is not the last word.
+// refuseUnrouted refuses a request for which a version has no route. While a later
+// one is known to exist, that is not the last word: also one that has come into force
+// since the route was looked up.
 //
 // The failure: operators add a route, and a node that has not got the version yet,
 // or refuses it, answers that there is no such route. Callers take that for final.
-func (n *Node) refuseUnrouted() *answer {
+func (n *Node) refuseUnrouted(version uint64) *answer {
 	reason, retry := call.ReasonNoRoute, time.Duration(0)
-	if n.behind() {
+	if n.laterThan(version) {
 		reason, retry = call.ReasonConfigBehind, behindRetry
 	}
 	n.metrics.Unrouted.With(string(reason)).Inc(1)
--- a/node/sync.go
+++ b/node/sync.go
@@ -199,9 +199,15 @@
 	}
 }
 
-// behind tells whether a later configuration than the one in force is known of, or
-// the platform holds one of which not even the version can be read.
-func (n *Node) behind() bool { return n.unreadable.Load() || n.config.Behind(n.now()) }
+// behind tells whether a later configuration than the one in force is known of.
+func (n *Node) behind() bool { return n.laterThan(n.ConfigVersion()) }
+
+// laterThan tells whether a later configuration than a version is known of, or the
+// platform holds one of which not even the version can be read.
+func (n *Node) laterThan(version uint64) bool {
+	newest, _ := n.config.Newest(n.now())
+	return n.unreadable.Load() || newest > version
+}
 
 // configObject names the object that holds the configuration.
 func (n *Node) configObject() (kind, name string) {
