soak: the configuration grows by 1,400 routes at a time, and denials are judged

Every node refused a configuration of more than 2048 routes and answered 404 on the routes of all later ones. The soak's operator never had more than four routes.

A plan has three growths of 1,400 routes when -grow says so (the constant grows is the default), customers ask on the added routes, and the checker denied is broken where a request on a route that the store acknowledged over five seconds before gets a 3xx or 4xx from a VM that is up and can learn. At the end every VM has to serve on the newest route, which goes by no clock.

--- a/cmd/pollengauge/soak/customer_test.go
+++ b/cmd/pollengauge/soak/customer_test.go
@@ -18,6 +18,8 @@
 	hasteShare = 0.03
 	haste      = 30 * time.Millisecond
 	probeEvery = 40 * time.Millisecond
+	// addedShare of the repeatable requests go to added routes, once there are.
+	addedShare = 0.4
 )
 
 // customer sends requests to one VM on one connection until ctx ends.
@@ -42,6 +44,9 @@
 
 func (f *fleet) send(ctx context.Context, v *vm, client *http.Client, unsafe bool) answered {
 	s := sent{id: newID(), vm: v.number, at: time.Now(), method: http.MethodGet, path: pathBrowse, unsafe: unsafe, origin: v.upstream.service}
+	if added := int(f.operator.acknowledged.Load()); !unsafe && added > 0 && rand.Float64() < addedShare {
+		s.path = addedPrefix(added - 1 - rand.IntN(added))
+	}
 	if unsafe {
 		s.method, s.path = http.MethodPost, pathFile
 		s.body = strings.Repeat(s.id, 1+rand.IntN(100))
--- /dev/null
+++ b/cmd/pollengauge/soak/denied_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// routesAreServed: a proper request on a route that the store acknowledged long
+// enough ago is not turned away as a bad one, unless the VM was down or could not
+// learn of the route.
+func (j *judgement) routesAreServed() {
+	denied := 0
+	var first string
+	for _, a := range j.answers {
+		s := j.asked[a.id]
+		acked := j.ackedAt(s.path)
+		from := s.at.Add(-j.learning)
+		if !denies(a.status) || acked.IsZero() || acked.After(from) || j.cutOff(s.vm, from, a.at) {
+			continue
+		}
+		if denied++; denied == 1 {
+			first = fmt.Sprintf("%s %s at VM %d got %d at %s, %s after the route's acknowledgement", s.method, s.path, s.vm, a.status, a.at.Format(time.StampMilli), s.at.Sub(acked))
+		}
+	}
+	if denied > 0 {
+		j.add("denied", "%d requests, the first: %s", denied, first)
+	}
+}
+
+func denies(status int) bool { return status >= 300 && status < 500 }
+
+// ackedAt is when the store first acknowledged a version with the path's route.
+func (j *judgement) ackedAt(path string) time.Time {
+	route := -1 // in the configuration from the beginning
+	if prefixOf(path) == pathAdded {
+		number, _, _ := strings.Cut(strings.TrimPrefix(path, pathAdded), "/")
+		route, _ = strconv.Atoi(number)
+	}
+	for _, v := range j.versions {
+		if v.added > route && !v.ackedAt.IsZero() {
+			return v.ackedAt
+		}
+	}
+	return time.Time{}
+}
+
+// cutOff tells whether, somewhere in a span, a VM was down or had neither the
+// store nor other nodes to learn from.
+func (j *judgement) cutOff(vm int, from, to time.Time) bool {
+	var store, peers bool
+	for _, d := range j.disturbed {
+		if d.vm != vm && d.vm != everyVM || d.from.After(to) || d.to.Before(from) {
+			continue
+		}
+		if slices.Contains([]fault{killNode, termNode, pauseNode, killAll, storeDown, storePaused}, d.fault) {
+			return true
+		}
+		store = store || slices.Contains([]fault{cutStore, silenceLinks}, d.fault)
+		peers = peers || slices.Contains([]fault{cutPeers, cutOneWay, silenceLinks}, d.fault)
+	}
+	return store && peers
+}
+
+// addedRoutes asks every VM on the newest route until it serves there: however
+// busy the machine is, all VMs know the configuration in the end.
+func (f *fleet) addedRoutes(ctx context.Context) []violation {
+	added := int(f.operator.acknowledged.Load())
+	if added == 0 {
+		return nil
+	}
+	var mu sync.Mutex
+	var found []violation
+	var asking sync.WaitGroup
+	for _, v := range f.vms {
+		asking.Go(func() {
+			if last, err := f.askUntilServed(ctx, v, addedPrefix(added-1)); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				found = append(found, violation{"denied", fmt.Sprintf("VM %d: last %d on the newest of %d added routes: %v", v.number, last.status, added, err)})
+			}
+		})
+	}
+	asking.Wait()
+	return found
+}
+
+func (f *fleet) askUntilServed(ctx context.Context, v *vm, prefix string) (last answered, err error) {
+	client := directClient()
+	err = await(ctx, func() bool {
+		s := sent{id: newID(), vm: v.number, at: time.Now(), method: http.MethodGet, origin: v.upstream.service}
+		s.path = prefix + s.id
+		last = f.exchange(ctx, v, client, s, customerDeadline)
+		return last.success()
+	})
+	return last, err
+}
--- a/cmd/pollengauge/soak/fleet_test.go
+++ b/cmd/pollengauge/soak/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -13,9 +12,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"pollengauge.dev/objects"
-	"pollengauge.dev/platform/store"
 )
 
 // host is the one under which all routes stand.
@@ -27,6 +23,8 @@
 	pathFile   = "/file/"
 	pathLook   = "/look/"
 	pathProbe  = "/probe/"
+	// pathAdded begins the prefixes of all routes that growths add.
+	pathAdded = "/added/"
 )
 
 var services = []string{"web", "filing", "stock"}
@@ -185,81 +183,6 @@
 	return found
 }
 
-// operator changes the configuration, which moves the probe route each time.
-type operator struct {
-	fleet *fleet
-	store *objects.Client
-
-	mu      sync.Mutex
-	number  int
-	current objects.Object
-}
-
-const (
-	configKind = "config"
-	configName = "main"
-)
-
-func newOperator(f *fleet) *operator {
-	client, err := store.New(objects.Options{Endpoint: "http://" + f.storeAddr, Timeout: 2 * time.Second})
-	if err != nil {
-		f.fail(err)
-	}
-	return &operator{fleet: f, store: client}
-}
-
-// change writes the next version. One whose answer is lost may be in force, so
-// it counts as sent.
-func (o *operator) change(ctx context.Context) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.number++
-	next := version{number: o.number, sentAt: time.Now(), probe: services[o.number%2]}
-	value, err := json.Marshal(configuration(next))
-	if err != nil {
-		o.fleet.fail(err)
-		return
-	}
-	add(o.fleet.record, &o.fleet.record.versions, next)
-	if o.current.Name == "" {
-		o.current, err = o.store.Create(ctx, configKind, configName, value)
-	} else {
-		o.current.Value = value
-		var written objects.Object
-		if written, err = o.store.Update(ctx, o.current); err == nil {
-			o.current = written
-		}
-	}
-	if err != nil && o.number == 1 {
-		o.fleet.fail(err)
-	}
-	if err != nil {
-		if stored, getErr := o.store.Get(ctx, configKind, configName); getErr == nil {
-			o.current = stored
-		}
-	}
-}
-
-func configuration(v version) map[string]any {
-	route := func(name, prefix, kind, service string, priority int) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service,
-			"timeout_s": routeTimeout.Seconds(), "target_latency_s": 1, "priority": priority, "attempts": routeAttempts,
-		}
-	}
-	return map[string]any{
-		"version": fmt.Sprintf("r%d", 3*v.number),
-		"routes": []any{
-			route("browse", pathBrowse, "safe", "web", 2),
-			route("file", pathFile, "unsafe", "filing", 0),
-			route("look", pathLook, "safe", "stock", 0),
-			route("probe", pathProbe, "safe", v.probe, 2),
-		},
-		"services": []any{map[string]any{"name": "web"}, map[string]any{"name": "filing"}, map[string]any{"name": "stock"}},
-		"limits":   map[string]any{"idle_timeout_s": 15},
-	}
-}
-
 // Terms of the routes.
 const (
 	routeTimeout  = 2 * time.Second
@@ -269,10 +192,10 @@
 func fleetTerms(timed bool) terms {
 	return terms{
 		allowed: map[string][]string{
-			pathBrowse: {"web"}, pathFile: {"filing"}, pathLook: {"stock"}, pathProbe: {"web", "filing"},
+			pathBrowse: {"web"}, pathFile: {"filing"}, pathLook: {"stock"}, pathProbe: {"web", "filing"}, pathAdded: {"stock"},
 		},
 		attempts: routeAttempts, timeout: routeTimeout, drain: 2 * time.Second,
-		retryRatio: 0.2, retrySlack: 20, retryWindow: 10 * time.Second, maxLateShare: 0.25, timed: timed,
+		retryRatio: 0.2, retrySlack: 20, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: timed,
 	}
 }
 
--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -20,6 +20,8 @@
 	retrySlack   float64
 	retryWindow  time.Duration
 	maxLateShare float64
+	// learning is how long a version may be on its way to a VM.
+	learning time.Duration
 	// timed adds the checks that go by the clock. They need a machine that is
 	// not busy with other work.
 	timed bool
@@ -46,6 +48,7 @@
 		j.leavingGetsNothing()
 		j.retriesAreBounded()
 		j.answersComeInTime()
+		j.routesAreServed()
 	}
 	return j.found
 }
--- /dev/null
+++ b/cmd/pollengauge/soak/operator_test.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/objects"
+	"pollengauge.dev/platform/store"
+)
+
+// operator changes the configuration, which moves the probe route each time.
+type operator struct {
+	fleet *fleet
+	store *objects.Client
+	// acknowledged is how many added routes the store has acknowledged.
+	acknowledged atomic.Int64
+
+	mu      sync.Mutex
+	number  int
+	current objects.Object
+	added   int
+}
+
+// Growths of the configuration. Three of them, as JSON, are near the largest
+// value that the store takes.
+const (
+	growthRoutes = 1400
+	mostGrowths  = 3
+)
+
+const (
+	configKind = "config"
+	configName = "main"
+)
+
+func newOperator(f *fleet) *operator {
+	client, err := store.New(objects.Options{Endpoint: "http://" + f.storeAddr, Timeout: 2 * time.Second})
+	if err != nil {
+		f.fail(err)
+	}
+	return &operator{fleet: f, store: client}
+}
+
+// grow adds routes, up to the most, and writes the next version.
+func (o *operator) grow(ctx context.Context) {
+	o.mu.Lock()
+	o.added = min(o.added+growthRoutes, mostGrowths*growthRoutes)
+	o.mu.Unlock()
+	o.change(ctx)
+}
+
+// change writes the next version. One whose answer is lost may be in force, so
+// it counts as sent.
+func (o *operator) change(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.number++
+	next := version{number: o.number, sentAt: time.Now(), probe: services[o.number%2], added: o.added}
+	value, err := json.Marshal(configuration(next))
+	if err != nil {
+		o.fleet.fail(err)
+		return
+	}
+	add(o.fleet.record, &o.fleet.record.versions, next)
+	if o.current.Name == "" {
+		if o.current, err = o.store.Create(ctx, configKind, configName, value); err == nil {
+			o.acknowledge(next)
+		}
+	} else {
+		o.current.Value = value
+		var written objects.Object
+		if written, err = o.store.Update(ctx, o.current); err == nil {
+			o.current = written
+			o.acknowledge(next)
+		}
+	}
+	if err != nil && o.number == 1 {
+		o.fleet.fail(err)
+	}
+	if err != nil {
+		if stored, getErr := o.store.Get(ctx, configKind, configName); getErr == nil {
+			o.current = stored
+		}
+	}
+}
+
+// acknowledge records that the store has taken a version.
+func (o *operator) acknowledge(v version) {
+	r := o.fleet.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions[v.number-1].ackedAt = time.Now()
+	o.acknowledged.Store(int64(v.added))
+}
+
+// addedPrefix is the path prefix of an added route.
+func addedPrefix(i int) string { return pathAdded + strconv.Itoa(i) + "/" }
+
+func configuration(v version) map[string]any {
+	route := func(name, prefix, kind, service string, priority int) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service,
+			"timeout_s": routeTimeout.Seconds(), "target_latency_s": 1, "priority": priority, "attempts": routeAttempts,
+		}
+	}
+	routes := []any{
+		route("browse", pathBrowse, "safe", "web", 2),
+		route("file", pathFile, "unsafe", "filing", 0),
+		route("look", pathLook, "safe", "stock", 0),
+		route("probe", pathProbe, "safe", v.probe, 2),
+	}
+	for i := range v.added {
+		routes = append(routes, route("added"+strconv.Itoa(i), addedPrefix(i), "safe", "stock", 2))
+	}
+	return map[string]any{
+		"version":  fmt.Sprintf("r%d", 3*v.number),
+		"routes":   routes,
+		"services": []any{map[string]any{"name": "web"}, map[string]any{"name": "filing"}, map[string]any{"name": "stock"}},
+		"limits":   map[string]any{"idle_timeout_s": 15},
+	}
+}
+
+// A configuration that the store can't take would never come to the nodes, and
+// the soak would judge nothing.
+func TestGrownConfigurationFitsTheStore(t *testing.T) {
+	c := qt.New(t)
+	value, err := json.Marshal(configuration(version{number: 1000, probe: services[0], added: mostGrowths * growthRoutes}))
+	c.Assert(err, qt.IsNil)
+	c.Check(objects.CheckValue(value), qt.IsNil)
+}
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -39,6 +39,8 @@
 	storePaused     fault = "store-paused"
 	changeConfig    fault = "change"
 	killAll         fault = "kill-all"
+	// growConfig is no fault of the list: each plan has the same number.
+	growConfig fault = "grow"
 )
 
 var faults = []fault{
@@ -85,6 +87,11 @@
 	for range int(span.Seconds() * changesPerSecond) {
 		steps = append(steps, step{at: time.Duration(r.Int64N(int64(span))), fault: changeConfig})
 	}
+	if *growFlag {
+		for range mostGrowths {
+			steps = append(steps, step{at: time.Duration(r.Int64N(int64(span / 2))), fault: growConfig})
+		}
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
 	return steps
 }
@@ -110,12 +117,18 @@
 	}
 }
 
+// afterEffect is how much longer what a fault held up is on its way.
+const afterEffect = 3 * time.Second
+
 // strike brings one fault and ends it.
 func (f *fleet) strike(ctx context.Context, s step) {
 	from := time.Now()
 	switch s.fault {
 	case storeDown, storeSlow, storeLoses, storeForgets, storePaused:
 		f.strikeStore(ctx, s)
+		add(f.record, &f.record.disturbed, disturbed{vm: everyVM, from: from, to: time.Now().Add(afterEffect), fault: s.fault})
+	case growConfig:
+		f.operator.grow(ctx)
 	case changeConfig:
 		f.operator.change(ctx)
 		return
@@ -130,8 +143,7 @@
 		for _, i := range vms {
 			f.done.Go(func() {
 				f.strikeVM(ctx, f.vms[i], s)
-				// What was held up is on its way for a moment longer.
-				add(f.record, &f.record.disturbed, disturbed{vm: i, from: from, to: time.Now().Add(3 * time.Second)})
+				add(f.record, &f.record.disturbed, disturbed{vm: i, from: from, to: time.Now().Add(afterEffect), fault: s.fault})
 			})
 		}
 	}
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -10,7 +10,7 @@
 var plantedTerms = terms{
 	allowed:  map[string][]string{"/file/": {"filing"}, "/probe/": {"web", "filing"}},
 	attempts: 2, timeout: time.Second, drain: 2 * time.Second,
-	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, timed: true,
+	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: true,
 }
 
 // sound returns a record in which one request was served as it should be.
@@ -58,11 +58,11 @@
 			}
 		}},
 		{"old configuration after a new one", "version", func(r *record) {
-			r.versions = []version{{1, at, "web"}, {2, at, "filing"}}
+			r.versions = []version{{number: 1, sentAt: at, probe: "web"}, {number: 2, sentAt: at, probe: "filing"}}
 			r.probes = []probe{{1, 1, at.Add(1), "web"}, {1, 1, at.Add(2), "filing"}, {1, 1, at.Add(3), "web"}}
 		}},
 		{"version before it was sent", "version", func(r *record) {
-			r.versions = []version{{1, at.Add(time.Second), "web"}}
+			r.versions = []version{{number: 1, sentAt: at.Add(time.Second), probe: "web"}}
 			r.probes = []probe{{1, 1, at, "web"}}
 		}},
 		{"process that ended by itself", "process", func(r *record) { r.ends = []end{{1, at, "exit 2"}} }},
@@ -84,6 +84,12 @@
 				r.answers = append(r.answers, a)
 			}
 		}},
+		{"route that was acknowledged long before is denied", "denied", func(r *record) { deny(r, at) }},
+		{"route is denied by a VM whose store alone is cut off", "denied", func(r *record) {
+			deny(r, at)
+			deny(r, at)
+			r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at, fault: cutStore}}
+		}},
 	} {
 		r := sound(at)
 		test.plant(r)
@@ -91,15 +97,47 @@
 	}
 }
 
+// deny plants a 404 on an added route that was acknowledged ten seconds before.
+func deny(r *record, at time.Time) {
+	r.versions = append(r.versions, version{number: len(r.versions) + 1, sentAt: at.Add(-10 * time.Second), ackedAt: at.Add(-10 * time.Second), probe: "web", added: 2})
+	r.sent = append(r.sent, sent{id: "new", vm: 1, at: at, path: addedPrefix(1) + "x", method: "GET", origin: "web"})
+	r.answers = append(r.answers, answered{id: "new", vm: 1, at: at, status: 404, whole: true})
+}
+
 // A new life of a process may begin with an older configuration, and a drain
 // binds only while nothing disturbs the VM that acknowledged it.
 func TestAllowedCasesAreNoFindings(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
 	r := sound(at)
-	r.versions = []version{{1, at, "web"}, {2, at, "filing"}}
+	r.versions = []version{{number: 1, sentAt: at, probe: "web"}, {number: 2, sentAt: at, probe: "filing"}}
 	r.probes = []probe{{1, 1, at.Add(1), "filing"}, {1, 2, at.Add(2), "web"}, {1, 2, at.Add(3), "filing"}}
 	r.leaves = []leave{{"i-1", 1, at.Add(-5 * time.Second)}}
-	r.disturbed = []disturbed{{1, at.Add(-time.Second), at.Add(time.Second)}}
+	r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at.Add(time.Second)}}
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+}
+
+// Nobody is to blame for not knowing what could not reach them.
+func TestDenialsOfCutOffVMsAreNoFindings(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	spanned := func(faults ...fault) []disturbed {
+		var all []disturbed
+		for _, f := range faults {
+			all = append(all, disturbed{vm: 1, from: at.Add(-time.Second), to: at, fault: f})
+		}
+		return all
+	}
+	for _, faults := range [][]fault{{killNode}, {pauseNode}, {silenceLinks}, {cutStore, cutPeers}, {cutStore, cutOneWay}} {
+		r := sound(at)
+		deny(r, at)
+		r.disturbed = spanned(faults...)
+		c.Check(judge(r, plantedTerms), qt.HasLen, 0, qt.Commentf("%v", faults))
+	}
+	r := sound(at)
+	deny(r, at)
+	r.versions[0].ackedAt = at.Add(-time.Second)
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+	r.versions[0].ackedAt = time.Time{}
 	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
 }
--- a/cmd/pollengauge/soak/record_test.go
+++ b/cmd/pollengauge/soak/record_test.go
@@ -60,8 +60,12 @@
 type version struct {
 	number int
 	sentAt time.Time
+	// ackedAt is zero where no acknowledgement came.
+	ackedAt time.Time
 	// probe is the service that the probe route leads to.
 	probe string
+	// added is how many routes growths have added.
+	added int
 }
 
 // probe is one answer on the probe route, whose service tells the version.
@@ -71,12 +75,16 @@
 	service         string
 }
 
-// disturbed is a time in which a VM, its links or its upstream had a fault.
+// disturbed is a time in which a VM, its links or its upstream had a fault, or
+// the store, for which vm is everyVM.
 type disturbed struct {
 	vm       int
 	from, to time.Time
+	fault    fault
 }
 
+const everyVM = -1
+
 // end is a process that ended without being told to.
 type end struct {
 	vm    int
--- a/cmd/pollengauge/soak/soak_test.go
+++ b/cmd/pollengauge/soak/soak_test.go
@@ -15,11 +15,15 @@
 	"pollengauge.dev/cmd/pollengauge/internal/cli"
 )
 
+// grows tells whether plans let the configuration grow where no flag says it.
+const grows = false
+
 var (
 	seedFlag  = flag.Uint64("seed", 0, "play the plan of this seed only")
 	seedsFlag = flag.Int("seeds", 0, "play this many fresh seeds, with the checks that go by the clock")
 	forFlag   = flag.Duration("for", 4*time.Second, "how long the faults of one seed last")
 	vmsFlag   = flag.Int("vms", 6, "VMs of the fleet")
+	growFlag  = flag.Bool("grow", grows, "let the configuration grow to some 4,200 routes")
 	keepFlag  = flag.String("keep", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -100,6 +104,7 @@
 	// The longest fault, or the drain of an upstream, is over then.
 	pause(ctx, longest+f.terms.drain+time.Second)
 	recovery := f.recovery(ctx)
+	recovery = append(recovery, f.addedRoutes(ctx)...)
 	stopLoad()
 	// What was refused or given up must not run later either.
 	pause(ctx, customerDeadline)
