standin: entries of other writers are read as they were written

The stand-in put every value into this project's form, so another writer read base64 in place of its JSON, and no test could tell whether nodes leave such entries alone. Values that come back byte for byte as JSON are now served as JSON.

Run: go test ./... in standin: TestEntriesOfOtherWritersAreReadAsWritten failed before, all pass after.

--- a/standin/server.go
+++ b/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -130,7 +131,7 @@
 	s.serveWrite(w, r, op, objects.Object{
 		Name:    name,
 		Version: body.Metadata.Revision,
-		Value:   store.Unwrap(body.Specification),
+		Value:   store.Unwrap(compact(body.Specification)),
 	})
 }
 
@@ -183,13 +184,35 @@
 // toWire puts an object into the store's form. A value that is not this
 // project's own goes as the JSON that it is.
 func toWire(o objects.Object) (store.Object, error) {
-	specification, err := store.Wrap(o.Value)
+	specification, err := specify(o.Value)
 	return store.Object{
 		Metadata:      store.Metadata{Name: o.Name, Revision: o.Revision},
 		Specification: specification,
 	}, err
 }
 
+// specify returns a value as the JSON that it is, where that comes back byte
+// for byte, and in this project's form otherwise.
+//
+// The failure: entries of other writers were given back in this project's form,
+// which their writers can't read.
+func specify(value []byte) (json.RawMessage, error) {
+	plain, err := json.Marshal(json.RawMessage(value))
+	if err == nil && bytes.Equal(plain, value) && bytes.Equal(store.Unwrap(value), value) {
+		return value, nil
+	}
+	return store.Wrap(value)
+}
+
+// compact returns JSON in the one spelling in which it is served.
+func compact(specification json.RawMessage) json.RawMessage {
+	plain, err := json.Marshal(specification)
+	if err != nil {
+		return specification // a body that was read as JSON holds none such
+	}
+	return plain
+}
+
 // serveFaults shows the faults, or sets them on POST.
 func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
