soak: shared connections, uploads, restarts under an id, other writers, moves between zones

The soak's customers sent one request at a time with short bodies to one VM, its upstreams came back under new ids only, and nobody else wrote to the store.

Customers now also send up to six requests behind one another on one connection (order: each answer is that of the request in its place and nothing unasked follows; close: nothing unrepeatable ran behind an answer that announced the end), upload up to 1 MiB whole and half-sent, 200 at once to one VM (half; memory: within the node's share, not under the race detector), and change zones under the same request id. Upstreams restart under their id, and what the earlier life said comes late (return). Another writer keeps entries under the kinds that nodes read (foreign). Refusals, attempts and retries are counted by sending, since an id may now be sent again. Drains are judged by life, since an id may now come back.

--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -39,6 +39,9 @@
 	storePaused     fault = "store-paused"
 	changeConfig    fault = "change"
 	killAll         fault = "kill-all"
+	restartUpstream fault = "restart-upstream"
+	manyUploads     fault = "many-uploads"
+	otherWriter     fault = "other-writer"
 	// growConfig is no fault of the list: each plan has the same number.
 	growConfig fault = "grow"
 )
@@ -47,8 +50,13 @@
 	killNode, termNode, pauseNode, reloadNode, rewriteSettings, crashUpstream, replaceUpstream, slowUpstream,
 	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
 	storeLoses, storeForgets, storePaused, changeConfig, killAll,
+	restartUpstream, manyUploads, otherWriter,
 }
 
+// inEveryPlan are drawn once more for each plan, so that none goes without what
+// their checkers judge.
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter}
+
 // step is one fault of a plan.
 type step struct {
 	at    time.Duration
@@ -87,6 +95,9 @@
 	for range int(span.Seconds() * changesPerSecond) {
 		steps = append(steps, step{at: time.Duration(r.Int64N(int64(span))), fault: changeConfig})
 	}
+	for _, kind := range inEveryPlan {
+		steps = append(steps, step{at: time.Duration(r.Int64N(int64(span))), fault: kind, vms: r.Perm(vms)[:1], lasts: time.Duration(r.Int64N(int64(longest)))})
+	}
 	if *growFlag {
 		for range mostGrowths {
 			steps = append(steps, step{at: time.Duration(r.Int64N(int64(span / 2))), fault: growConfig})
@@ -129,6 +140,8 @@
 		add(f.record, &f.record.disturbed, disturbed{vm: everyVM, from: from, to: time.Now().Add(afterEffect), fault: s.fault})
 	case growConfig:
 		f.operator.grow(ctx)
+	case otherWriter:
+		f.writeForeign(ctx)
 	case changeConfig:
 		f.operator.change(ctx)
 		return
@@ -194,6 +207,10 @@
 		f.check(u.start())
 	case replaceUpstream:
 		u.replace(ctx, f.terms.drain)
+	case restartUpstream:
+		f.check(u.restart(ctx, s.lasts))
+	case manyUploads:
+		f.uploadBurst(ctx, v)
 	case slowUpstream:
 		u.work.Store(int64(40 * usualWork))
 		pause(ctx, s.lasts)
--- /dev/null
+++ b/cmd/pollengauge/soak/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package soak
+
+const raceDetector = true
--- a/cmd/pollengauge/soak/record_test.go
+++ b/cmd/pollengauge/soak/record_test.go
@@ -14,6 +14,8 @@
 	// method and body are as the receiver must get them.
 	method, body string
 	unsafe       bool
+	// half is set where a part of the body was never sent.
+	half bool
 	// origin is the service on the VM where it was made.
 	origin string
 }
@@ -25,10 +27,12 @@
 	vm       int
 	service  string
 	instance string
-	method   string
-	path     string
-	body     string
-	origin   string
+	// life counts the starts of the upstream, which may keep its instance.
+	life   int
+	method string
+	path   string
+	body   string
+	origin string
 	// executed is false where the upstream turned it away.
 	executed  bool
 	status    int
@@ -44,7 +48,11 @@
 	took      time.Duration
 	status    int
 	signature string
-	body      string
+	// echo is the id that the answer bears.
+	echo string
+	body string
+	// closes tells that the answer announced the connection's end.
+	closes bool
 	// whole is false where the body broke off or no answer came.
 	whole bool
 }
@@ -52,6 +60,7 @@
 // leave is the acknowledgement that an incarnation of an upstream leaves.
 type leave struct {
 	instance string
+	life     int
 	vm       int
 	at       time.Time
 }
@@ -92,6 +101,13 @@
 	state string
 }
 
+// comeback is the first acknowledged heartbeat of an upstream that started again
+// under its id.
+type comeback struct {
+	vm, life int
+	at       time.Time
+}
+
 // record is all that was seen from outside. It is safe for concurrent use.
 type record struct {
 	mu        sync.Mutex
@@ -103,6 +119,10 @@
 	probes    []probe
 	disturbed []disturbed
 	ends      []end
+	batches   []batch
+	usages    []usage
+	entries   []entry
+	returns   []comeback
 }
 
 func add[T any](r *record, list *[]T, item T) {
--- /dev/null
+++ b/cmd/pollengauge/soak/respond_test.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// respond answers, now and then wrongly.
+func (i *incarnation) respond(w http.ResponseWriter, x run, misbehaves *odds) {
+	h := w.Header()
+	h.Set(headerID, x.id)
+	h.Set(headerSignature, x.signature)
+	draw := rand.Float64()
+	switch {
+	case draw < misbehaves.lose:
+		panic(http.ErrAbortHandler)
+	case draw < misbehaves.lose+misbehaves.truncate:
+		h.Set("Content-Length", strconv.Itoa(len(x.answer)+1))
+		w.WriteHeader(x.status)
+		_, _ = io.WriteString(w, x.answer)
+		panic(http.ErrAbortHandler)
+	case draw < misbehaves.lose+misbehaves.truncate+misbehaves.extra:
+		i.respondTwice(w, x)
+		return
+	case draw < misbehaves.lose+misbehaves.truncate+misbehaves.extra+misbehaves.unframed:
+		i.respondRaw(w, x, "Connection: close\r\n")
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(len(x.answer)))
+	w.WriteHeader(x.status)
+	_, _ = io.WriteString(w, x.answer)
+}
+
+// lateExtra is when a second answer comes, which nobody asked for.
+const lateExtra = 30 * time.Millisecond
+
+// respondTwice sends the answer again where the next one is due.
+func (i *incarnation) respondTwice(w http.ResponseWriter, x run) {
+	i.respondRaw(w, x, fmt.Sprintf("Content-Length: %d\r\n", len(x.answer)))
+}
+
+// respondRaw writes the answer on the bare connection. With a length it is
+// followed by the same answer once more.
+func (i *incarnation) respondRaw(w http.ResponseWriter, x run, framing string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	answer := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: %s\r\n%s\r\n%s", x.status, headerID, x.id, headerSignature, x.signature, framing, x.answer)
+	_, _ = io.WriteString(conn, answer)
+	if strings.HasPrefix(framing, "Content-Length") {
+		time.Sleep(lateExtra)
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(lateExtra)
+	}
+}
--- /dev/null
+++ b/cmd/pollengauge/soak/summary_test.go
@@ -0,0 +1,62 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+)
+
+// summary tells in some lines what was played, so that a run that judged nothing
+// shows.
+func (f *fleet) summary(faults int) string {
+	r := f.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lines []string
+	tell := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	tell("%d faults, %d requests, %d served, %d arrivals, %d versions", faults, len(r.sent), r.count(nil), len(r.runs), len(r.versions))
+	wholeBatches, closed := 0, 0
+	for _, b := range r.batches {
+		if b.answered == len(b.ids) {
+			wholeBatches++
+		}
+		if b.closes {
+			closed++
+		}
+	}
+	tell("%d batches behind one another, %d answered whole, %d ended by an announced close", len(r.batches), wholeBatches, closed)
+	uploads, halves, moved, added := make(map[string]bool), 0, 0, make(map[string]bool)
+	seen := make(map[string]bool)
+	for _, s := range r.sent {
+		switch {
+		case s.half:
+			halves++
+		case strings.Contains(s.body, " bytes, "):
+			uploads[s.id] = true
+		case prefixOf(s.path) == pathAdded:
+			added[s.id] = true
+		case seen[s.id]:
+			moved++
+		}
+		seen[s.id] = true
+	}
+	tell("%d whole uploads, %d served; %d half-sent; %d requests sent again in the other zone", len(uploads), r.count(uploads), halves, moved)
+	var most int64
+	for _, u := range r.usages {
+		most = max(most, u.bytes)
+	}
+	tell("%d requests on added routes, %d served; %d heartbeats after restarts under the id; %d entries of another writer; most memory %d MiB",
+		len(added), r.count(added), len(r.returns), len(r.entries), most>>20)
+	return strings.Join(lines, "\n    ")
+}
+
+// count counts the successes among the requests, of all with nil. The caller
+// holds the lock.
+func (r *record) count(ids map[string]bool) int {
+	n := 0
+	for _, a := range r.answers {
+		if a.success() && (ids == nil || ids[a.id]) {
+			n++
+		}
+	}
+	return n
+}
