soak: waits for all VMs run at the same time

A run in which no VM serves again waited a minute for each VM in turn, and took over eight minutes to fail. They now wait beside each other.

--- a/cmd/pollengauge/soak/denied_test.go
+++ b/cmd/pollengauge/soak/denied_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -74,20 +73,13 @@
 	if added == 0 {
 		return nil
 	}
-	var mu sync.Mutex
-	var found []violation
-	var asking sync.WaitGroup
-	for _, v := range f.vms {
-		asking.Go(func() {
-			if last, err := f.askUntilServed(ctx, v, addedPrefix(added-1)); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				found = append(found, violation{"denied", fmt.Sprintf("VM %d: last %d on the newest of %d added routes: %v", v.number, last.status, added, err)})
-			}
-		})
-	}
-	asking.Wait()
-	return found
+	return f.eachVM(func(v *vm) error {
+		last, err := f.askUntilServed(ctx, v, addedPrefix(added-1))
+		if err != nil {
+			return neverError{"denied", v.number, fmt.Sprintf("last %d on the newest of %d added routes", last.status, added), err}
+		}
+		return nil
+	})
 }
 
 func (f *fleet) askUntilServed(ctx context.Context, v *vm, prefix string) (last answered, err error) {
--- a/cmd/pollengauge/soak/return_test.go
+++ b/cmd/pollengauge/soak/return_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
-	"sync"
 	"time"
 )
 
@@ -48,20 +46,12 @@
 // machine is, all of them are in use in the end.
 func (f *fleet) idleUpstreams(ctx context.Context) []violation {
 	since := time.Now()
-	var mu sync.Mutex
-	var found []violation
-	var waiting sync.WaitGroup
-	for _, v := range f.vms {
-		waiting.Go(func() {
-			if err := await(ctx, func() bool { return f.record.ran(v.number, since) }); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				found = append(found, violation{"return", fmt.Sprintf("VM %d: its upstream gets nothing: %v", v.number, err)})
-			}
-		})
-	}
-	waiting.Wait()
-	return found
+	return f.eachVM(func(v *vm) error {
+		if err := await(ctx, func() bool { return f.record.ran(v.number, since) }); err != nil {
+			return neverError{"return", v.number, "its upstream gets nothing", err}
+		}
+		return nil
+	})
 }
 
 // ran tells whether a VM's upstream has run something since a time.
--- a/cmd/pollengauge/soak/soak_test.go
+++ b/cmd/pollengauge/soak/soak_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -124,15 +126,43 @@
 
 // recovery waits until each VM serves again.
 func (f *fleet) recovery(ctx context.Context) []violation {
-	var found []violation
-	for _, v := range f.vms {
+	return f.eachVM(func(v *vm) error {
 		err := await(ctx, func() bool {
 			all, good := f.record.served(v.number, time.Now().Add(-recoveryWindow))
 			return all >= leastRequests && float64(good) >= recovered*float64(all)
 		})
 		if err != nil {
-			found = append(found, violation{"recovery", fmt.Sprintf("VM %d does not serve again: %v", v.number, err)})
+			return neverError{"recovery", v.number, "it does not serve again", err}
 		}
+		return nil
+	})
+}
+
+// neverError tells what had to come at a VM, and did not.
+type neverError struct {
+	rule  string
+	vm    int
+	what  string
+	cause error
+}
+
+func (e neverError) Error() string { return fmt.Sprintf("VM %d: %s: %v", e.vm, e.what, e.cause) }
+
+// eachVM waits for something at all VMs at once, and returns where it fails.
+func (f *fleet) eachVM(wait func(v *vm) error) []violation {
+	var mu sync.Mutex
+	var found []violation
+	var waiting sync.WaitGroup
+	for _, v := range f.vms {
+		waiting.Go(func() {
+			var never neverError
+			if errors.As(wait(v), &never) {
+				mu.Lock()
+				defer mu.Unlock()
+				found = append(found, violation{never.rule, never.Error()})
+			}
+		})
 	}
+	waiting.Wait()
 	return found
 }
