--- a/cmd/pollengauge/soak/doc.go
+++ b/cmd/pollengauge/soak/doc.go
@@ -6,7 +6,9 @@
 // the test's process, so that what they saw is one record without gaps. Faults
 // come from outside the programs: signals, and a proxy on each kind of link
 // that delays, resets, cuts or silences connections. They come in series and
-// overlap, and customers use their connections until the process is gone.
+// overlap, and customers use their connections until the process is gone. Some
+// customers send requests behind one another, upload, break off halfway, or
+// change zones; another program writes to the store as well.
 //
 // The clock of a process can't be set from outside it without privileges; steps
 // of the clock are left to the tests with injected ones.
@@ -19,6 +21,7 @@
 //	go test ./cmd/pollengauge/soak -seeds 50 -for 15s       fifty fresh plans
 //	go test ./cmd/pollengauge/soak -seed 7 -for 15s         one plan again
 //	go test ./cmd/pollengauge/soak -seeds 2 -vms 60         up to the limits
+//	go test ./cmd/pollengauge/soak -seeds 5 -grow           with some 4,200 routes
 //
 // The logs of a plan that failed are kept; its output tells where.
 package soak
--- a/cmd/pollengauge/soak/foreign_test.go
+++ b/cmd/pollengauge/soak/foreign_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"reflect"
+	"slices"
 
 	"pollengauge.dev/platform/store"
 )
@@ -71,11 +72,14 @@
 // readForeign looks at all entries of the other writer again.
 func (f *fleet) readForeign(ctx context.Context) {
 	f.record.mu.Lock()
-	defer f.record.mu.Unlock()
-	for i := range f.record.entries {
-		e := &f.record.entries[i]
-		f.check(await(ctx, func() bool { return f.readEntry(ctx, e) == nil }))
+	entries := slices.Clone(f.record.entries)
+	f.record.mu.Unlock()
+	for i := range entries {
+		f.check(await(ctx, func() bool { return f.readEntry(ctx, &entries[i]) == nil }))
 	}
+	f.record.mu.Lock()
+	f.record.entries = entries
+	f.record.mu.Unlock()
 }
 
 // readEntry leaves found empty where the entry is gone.
