--- a/cmd/pollengauge/soak/customer_test.go
+++ b/cmd/pollengauge/soak/customer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -18,6 +17,8 @@
 	hasteShare = 0.03
 	haste      = 30 * time.Millisecond
 	probeEvery = 40 * time.Millisecond
+	// addedShare of the repeatable requests go to added routes, once there are.
+	addedShare = 0.4
 )
 
 // customer sends requests to one VM on one connection until ctx ends.
@@ -42,6 +43,9 @@
 
 func (f *fleet) send(ctx context.Context, v *vm, client *http.Client, unsafe bool) answered {
 	s := sent{id: newID(), vm: v.number, at: time.Now(), method: http.MethodGet, path: pathBrowse, unsafe: unsafe, origin: v.upstream.service}
+	if added := int(f.operator.acknowledged.Load()); !unsafe && added > 0 && rand.Float64() < addedShare {
+		s.path = addedPrefix(added - 1 - rand.IntN(added))
+	}
 	if unsafe {
 		s.method, s.path = http.MethodPost, pathFile
 		s.body = strings.Repeat(s.id, 1+rand.IntN(100))
@@ -123,18 +127,9 @@
 			f.done.Go(func() { f.customer(ctx, v, think) })
 		}
 		f.done.Go(func() { f.prober(ctx, v) })
+		f.done.Go(func() { f.pipeliner(ctx, v) })
+		f.done.Go(func() { f.uploader(ctx, v) })
+		f.done.Go(func() { f.mover(ctx, v) })
+		f.done.Go(func() { f.watchMemory(ctx, v) })
 	}
 }
-
-// summary tells in a line what was played.
-func (f *fleet) summary() string {
-	f.record.mu.Lock()
-	defer f.record.mu.Unlock()
-	good := 0
-	for _, a := range f.record.answers {
-		if a.success() {
-			good++
-		}
-	}
-	return fmt.Sprintf("%d requests, %d served, %d arrivals, %d versions", len(f.record.sent), good, len(f.record.runs), len(f.record.versions))
-}
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -39,14 +39,24 @@
 	storePaused     fault = "store-paused"
 	changeConfig    fault = "change"
 	killAll         fault = "kill-all"
+	restartUpstream fault = "restart-upstream"
+	manyUploads     fault = "many-uploads"
+	otherWriter     fault = "other-writer"
+	// growConfig is no fault of the list: each plan has the same number.
+	growConfig fault = "grow"
 )
 
 var faults = []fault{
 	killNode, termNode, pauseNode, reloadNode, rewriteSettings, crashUpstream, replaceUpstream, slowUpstream,
 	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
 	storeLoses, storeForgets, storePaused, changeConfig, killAll,
+	restartUpstream, manyUploads, otherWriter,
 }
 
+// inEveryPlan are drawn once more for each plan, so that none goes without what
+// their checkers judge.
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter}
+
 // step is one fault of a plan.
 type step struct {
 	at    time.Duration
@@ -85,6 +95,14 @@
 	for range int(span.Seconds() * changesPerSecond) {
 		steps = append(steps, step{at: time.Duration(r.Int64N(int64(span))), fault: changeConfig})
 	}
+	for _, kind := range inEveryPlan {
+		steps = append(steps, step{at: time.Duration(r.Int64N(int64(span))), fault: kind, vms: r.Perm(vms)[:1], lasts: time.Duration(r.Int64N(int64(longest)))})
+	}
+	if *growFlag {
+		for range mostGrowths {
+			steps = append(steps, step{at: time.Duration(r.Int64N(int64(span / 2))), fault: growConfig})
+		}
+	}
 	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
 	return steps
 }
@@ -110,12 +128,20 @@
 	}
 }
 
+// afterEffect is how much longer what a fault held up is on its way.
+const afterEffect = 3 * time.Second
+
 // strike brings one fault and ends it.
 func (f *fleet) strike(ctx context.Context, s step) {
 	from := time.Now()
 	switch s.fault {
 	case storeDown, storeSlow, storeLoses, storeForgets, storePaused:
 		f.strikeStore(ctx, s)
+		add(f.record, &f.record.disturbed, disturbed{vm: everyVM, from: from, to: time.Now().Add(afterEffect), fault: s.fault})
+	case growConfig:
+		f.operator.grow(ctx)
+	case otherWriter:
+		f.writeForeign(ctx)
 	case changeConfig:
 		f.operator.change(ctx)
 		return
@@ -130,8 +156,7 @@
 		for _, i := range vms {
 			f.done.Go(func() {
 				f.strikeVM(ctx, f.vms[i], s)
-				// What was held up is on its way for a moment longer.
-				add(f.record, &f.record.disturbed, disturbed{vm: i, from: from, to: time.Now().Add(3 * time.Second)})
+				add(f.record, &f.record.disturbed, disturbed{vm: i, from: from, to: time.Now().Add(afterEffect), fault: s.fault})
 			})
 		}
 	}
@@ -182,6 +207,10 @@
 		f.check(u.start())
 	case replaceUpstream:
 		u.replace(ctx, f.terms.drain)
+	case restartUpstream:
+		f.check(u.restart(ctx, s.lasts))
+	case manyUploads:
+		f.uploadBurst(ctx, v)
 	case slowUpstream:
 		u.work.Store(int64(40 * usualWork))
 		pause(ctx, s.lasts)
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -10,7 +10,7 @@
 var plantedTerms = terms{
 	allowed:  map[string][]string{"/file/": {"filing"}, "/probe/": {"web", "filing"}},
 	attempts: 2, timeout: time.Second, drain: 2 * time.Second,
-	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, timed: true,
+	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: true,
 }
 
 // sound returns a record in which one request was served as it should be.
@@ -58,16 +58,16 @@
 			}
 		}},
 		{"old configuration after a new one", "version", func(r *record) {
-			r.versions = []version{{1, at, "web"}, {2, at, "filing"}}
+			r.versions = []version{{number: 1, sentAt: at, probe: "web"}, {number: 2, sentAt: at, probe: "filing"}}
 			r.probes = []probe{{1, 1, at.Add(1), "web"}, {1, 1, at.Add(2), "filing"}, {1, 1, at.Add(3), "web"}}
 		}},
 		{"version before it was sent", "version", func(r *record) {
-			r.versions = []version{{1, at.Add(time.Second), "web"}}
+			r.versions = []version{{number: 1, sentAt: at.Add(time.Second), probe: "web"}}
 			r.probes = []probe{{1, 1, at, "web"}}
 		}},
 		{"process that ended by itself", "process", func(r *record) { r.ends = []end{{1, at, "exit 2"}} }},
 		{"request after the drain's bound", "drain", func(r *record) {
-			r.leaves = []leave{{"i-1", 1, at.Add(-5 * time.Second)}}
+			r.leaves = []leave{{instance: "i-1", vm: 1, at: at.Add(-5 * time.Second)}}
 		}},
 		{"storm of retries", "retries", func(r *record) {
 			r.sent[0].unsafe = false
@@ -84,6 +84,48 @@
 				r.answers = append(r.answers, a)
 			}
 		}},
+		{"route that was acknowledged long before is denied", "denied", func(r *record) { deny(r, at) }},
+		{"route is denied by a VM whose store alone is cut off", "denied", func(r *record) {
+			deny(r, at)
+			deny(r, at)
+			r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at, fault: cutStore}}
+		}},
+		{"answer of the request before on a shared connection", "order", func(r *record) { r.answers[0].echo = "b" }},
+		{"answer that nobody asked for", "order", func(r *record) { r.batches = []batch{{ids: []string{"a"}, answered: 1, extra: 7}} }},
+		{"run behind an answer that closed the connection", "close", func(r *record) {
+			r.batches = []batch{{ids: []string{"b", "a"}, answered: 1, closes: true}}
+		}},
+		{"half of an upload runs", "half", func(r *record) { r.sent[0].half = true; r.answers = nil }},
+		{"half of an upload is answered as done", "half", func(r *record) { r.sent[0].half = true; r.runs[0].executed = false }},
+		{"uploads fill the memory", "memory", func(r *record) { r.usages = []usage{{vm: 1, at: at, bytes: memoryLimit + 1}} }},
+		{"upstream that came back gets nothing", "return", func(r *record) {
+			r.returns = []comeback{{vm: 1, life: 2, at: at.Add(-2 * returnWithin)}}
+		}},
+		{"entry of another writer is overwritten", "foreign", func(r *record) { r.entries = []entry{{kind: "config", name: "x", wrote: "7", found: "8"}} }},
+		{"entry of another writer is gone", "foreign", func(r *record) { r.entries = []entry{{kind: "config", name: "x", wrote: "7"}} }},
+		{"refused in one zone, run in both", "once", func(r *record) {
+			move(r, at)
+			r.runs = append(r.runs, again(r))
+			r.runs[1].at = at.Add(3 * time.Second)
+		}},
+		{"refused in one zone though it ran there", "not-run", func(r *record) {
+			move(r, at)
+			r.runs[0].at = at.Add(time.Millisecond)
+		}},
+		{"customers that move don't widen the bound of attempts", "attempts", func(r *record) {
+			r.sent[0].unsafe = false
+			move(r, at)
+			x := r.runs[0]
+			for _, id := range []string{"b", "c", "d", "e"} {
+				r.sent = append(r.sent, r.sent[0], r.sent[1])
+				r.sent[len(r.sent)-2].id, r.sent[len(r.sent)-1].id = id, id
+				x.at = x.at.Add(time.Minute) // no storm: each has a window of its own
+				for range 5 {
+					x.id = id
+					r.runs = append(r.runs, x)
+				}
+			}
+		}},
 	} {
 		r := sound(at)
 		test.plant(r)
@@ -91,15 +133,67 @@
 	}
 }
 
+// deny plants a 404 on an added route that was acknowledged ten seconds before.
+func deny(r *record, at time.Time) {
+	r.versions = append(r.versions, version{number: len(r.versions) + 1, sentAt: at.Add(-10 * time.Second), ackedAt: at.Add(-10 * time.Second), probe: "web", added: 2})
+	r.sent = append(r.sent, sent{id: "new", vm: 1, at: at, path: addedPrefix(1) + "x", method: "GET", origin: "web"})
+	r.answers = append(r.answers, answered{id: "new", vm: 1, at: at, status: 404, whole: true})
+}
+
+// move has the request refused in one zone and sent again to the other, where it
+// runs.
+func move(r *record, at time.Time) {
+	resent := r.sent[0]
+	resent.vm, resent.at = 2, at.Add(2*time.Second)
+	r.sent = append(r.sent, resent)
+	r.runs[0].at = resent.at.Add(time.Millisecond)
+	r.answers = append([]answered{{id: "a", vm: 1, at: at.Add(time.Second), status: 503, whole: true}}, r.answers...)
+	r.answers[1].at = resent.at.Add(2 * time.Millisecond)
+}
+
 // A new life of a process may begin with an older configuration, and a drain
 // binds only while nothing disturbs the VM that acknowledged it.
 func TestAllowedCasesAreNoFindings(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
 	r := sound(at)
-	r.versions = []version{{1, at, "web"}, {2, at, "filing"}}
+	r.versions = []version{{number: 1, sentAt: at, probe: "web"}, {number: 2, sentAt: at, probe: "filing"}}
 	r.probes = []probe{{1, 1, at.Add(1), "filing"}, {1, 2, at.Add(2), "web"}, {1, 2, at.Add(3), "filing"}}
-	r.leaves = []leave{{"i-1", 1, at.Add(-5 * time.Second)}}
-	r.disturbed = []disturbed{{1, at.Add(-time.Second), at.Add(time.Second)}}
+	r.leaves = []leave{{instance: "i-1", vm: 1, at: at.Add(-5 * time.Second)}}
+	r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at.Add(time.Second)}}
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+}
+
+// Nobody is to blame for not knowing what could not reach them.
+func TestDenialsOfCutOffVMsAreNoFindings(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	spanned := func(faults ...fault) []disturbed {
+		var all []disturbed
+		for _, f := range faults {
+			all = append(all, disturbed{vm: 1, from: at.Add(-time.Second), to: at, fault: f})
+		}
+		return all
+	}
+	for _, faults := range [][]fault{{killNode}, {pauseNode}, {silenceLinks}, {cutStore, cutPeers}, {cutStore, cutOneWay}} {
+		r := sound(at)
+		deny(r, at)
+		r.disturbed = spanned(faults...)
+		c.Check(judge(r, plantedTerms), qt.HasLen, 0, qt.Commentf("%v", faults))
+	}
+	r := sound(at)
+	deny(r, at)
+	r.versions[0].ackedAt = at.Add(-time.Second)
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+	r.versions[0].ackedAt = time.Time{}
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+}
+
+// A customer whose request was refused in one zone has it run in the other.
+func TestMovesAreNoFindings(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	r := sound(at)
+	move(r, at)
 	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
 }
--- a/cmd/pollengauge/soak/soak_test.go
+++ b/cmd/pollengauge/soak/soak_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,11 +17,15 @@
 	"pollengauge.dev/cmd/pollengauge/internal/cli"
 )
 
+// grows tells whether plans let the configuration grow where no flag says it.
+const grows = false
+
 var (
 	seedFlag  = flag.Uint64("seed", 0, "play the plan of this seed only")
 	seedsFlag = flag.Int("seeds", 0, "play this many fresh seeds, with the checks that go by the clock")
 	forFlag   = flag.Duration("for", 4*time.Second, "how long the faults of one seed last")
 	vmsFlag   = flag.Int("vms", 6, "VMs of the fleet")
+	growFlag  = flag.Bool("grow", grows, "let the configuration grow to some 4,200 routes")
 	keepFlag  = flag.String("keep", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -96,15 +102,19 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	f.load(loadCtx, customersEach, thinkTime)
-	f.play(ctx, draw(seed, *vmsFlag, *forFlag))
+	steps := draw(seed, *vmsFlag, *forFlag)
+	f.play(ctx, steps)
 	// The longest fault, or the drain of an upstream, is over then.
 	pause(ctx, longest+f.terms.drain+time.Second)
 	recovery := f.recovery(ctx)
+	recovery = append(recovery, f.addedRoutes(ctx)...)
+	recovery = append(recovery, f.idleUpstreams(ctx)...)
 	stopLoad()
+	f.readForeign(ctx)
 	// What was refused or given up must not run later either.
 	pause(ctx, customerDeadline)
 	c.Assert(f.failed, qt.IsNil)
-	return append(append(judge(f.record, f.terms), recovery...), f.logs()...), f.summary()
+	return append(append(judge(f.record, f.terms), recovery...), f.logs()...), f.summary(len(steps))
 }
 
 // Recovery: the share of a VM's recent requests that must be served.
@@ -116,15 +126,43 @@
 
 // recovery waits until each VM serves again.
 func (f *fleet) recovery(ctx context.Context) []violation {
-	var found []violation
-	for _, v := range f.vms {
+	return f.eachVM(func(v *vm) error {
 		err := await(ctx, func() bool {
 			all, good := f.record.served(v.number, time.Now().Add(-recoveryWindow))
 			return all >= leastRequests && float64(good) >= recovered*float64(all)
 		})
 		if err != nil {
-			found = append(found, violation{"recovery", fmt.Sprintf("VM %d does not serve again: %v", v.number, err)})
+			return neverError{"recovery", v.number, "it does not serve again", err}
 		}
+		return nil
+	})
+}
+
+// neverError tells what had to come at a VM, and did not.
+type neverError struct {
+	rule  string
+	vm    int
+	what  string
+	cause error
+}
+
+func (e neverError) Error() string { return fmt.Sprintf("VM %d: %s: %v", e.vm, e.what, e.cause) }
+
+// eachVM waits for something at all VMs at once, and returns where it fails.
+func (f *fleet) eachVM(wait func(v *vm) error) []violation {
+	var mu sync.Mutex
+	var found []violation
+	var waiting sync.WaitGroup
+	for _, v := range f.vms {
+		waiting.Go(func() {
+			var never neverError
+			if errors.As(wait(v), &never) {
+				mu.Lock()
+				defer mu.Unlock()
+				found = append(found, violation{never.rule, never.Error()})
+			}
+		})
 	}
+	waiting.Wait()
 	return found
 }
