--- a/cmd/pollengauge/soak/soak_test.go
+++ b/cmd/pollengauge/soak/soak_test.go
@@ -17,15 +17,12 @@
 	"pollengauge.dev/cmd/pollengauge/internal/cli"
 )
 
-// grows tells whether plans let the configuration grow where no flag says it.
-const grows = false
-
 var (
 	seedFlag  = flag.Uint64("seed", 0, "play the plan of this seed only")
 	seedsFlag = flag.Int("seeds", 0, "play this many fresh seeds, with the checks that go by the clock")
 	forFlag   = flag.Duration("for", 4*time.Second, "how long the faults of one seed last")
 	vmsFlag   = flag.Int("vms", 6, "VMs of the fleet")
-	growFlag  = flag.Bool("grow", grows, "let the configuration grow to some 4,200 routes")
+	growFlag  = flag.Bool("grow", true, "let the configuration grow to some 4,200 routes")
 	keepFlag  = flag.String("keep", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
