--- a/cmd/pollengauge/soak/doc.go
+++ b/cmd/pollengauge/soak/doc.go
@@ -21,7 +21,7 @@
 //	go test ./cmd/pollengauge/soak -seeds 50 -for 15s       fifty fresh plans
 //	go test ./cmd/pollengauge/soak -seed 7 -for 15s         one plan again
 //	go test ./cmd/pollengauge/soak -seeds 2 -vms 60         up to the limits
-//	go test ./cmd/pollengauge/soak -seeds 5 -grow           with some 4,200 routes
+//	go test ./cmd/pollengauge/soak -seeds 5 -grow=false     without growths of the configuration
 //
 // The logs of a plan that failed are kept; its output tells where.
 package soak
