node, observe: an upstream that ends is told from a lost answer; requests by their content

Change: a run whose connection breaks looks whether anything still listens at its upstream. Reason upstream-ended, event 1020 with the number of runs, metric pollengauge_upstreams_ended_total, and in records of such runs a fingerprint of the content. An upstream that leaves, and a node that ends, are left out. No decision changed: the new reason is retried as lost was. Tests: an end against a lost answer, an upstream that was about to leave.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -82,6 +82,9 @@
 	ReasonConnect Reason = "connect"
 	// ReasonLost: the connection broke after the call was sent.
 	ReasonLost Reason = "lost"
+	// ReasonUpstreamEnded: the upstream ended while it was running the call. The
+	// call may be the cause.
+	ReasonUpstreamEnded Reason = "upstream-ended"
 	// ReasonTimeout: the deadline passed after the call was dispatched, or before
 	// its body had come.
 	ReasonTimeout Reason = "timeout"
--- /dev/null
+++ b/node/life_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/call"
+	"pollengauge.dev/observe"
+)
+
+// lostRuns returns the reasons of the runs that ended without an answer.
+func lostRuns(n *Node) map[call.Reason]int {
+	reasons := make(map[call.Reason]int)
+	for _, hop := range n.ring.Recent(observe.Filter{}, 1000) {
+		if hop.Kind == observe.Inbound && hop.Outcome == call.Unknown {
+			reasons[hop.Reason]++
+		}
+	}
+	return reasons
+}
+
+// Guards against taking a lost answer for the end of its upstream, or the reverse.
+func TestEndedUpstreamIsToldFromALostAnswer(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(1)
+		f.askRouted(m.nodes[0], "/file/"+fatalPart, "a")
+		f.c.Check(m.ended(), qt.Equals, 1)
+		f.c.Check(lostRuns(m.nodes[0]), qt.DeepEquals, map[call.Reason]int{call.ReasonUpstreamEnded: 1})
+		f.c.Check(m.nodes[0].metrics.UpstreamsEnded.Count(), qt.Equals, int64(1))
+	})
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("losing", "desk", 10, func(http.ResponseWriter, *http.Request, func(string, string, string) (*http.Response, error)) {
+			panic(http.ErrAbortHandler)
+		})
+		f.settle()
+		f.askRouted(n, "/file/x", "a")
+		f.c.Check(lostRuns(n), qt.DeepEquals, map[call.Reason]int{call.ReasonLost: 1})
+		f.c.Check(n.metrics.UpstreamsEnded.Count(), qt.Equals, int64(0))
+	})
+}
+
+// Guards against blaming requests for an upstream that was about to leave.
+func TestUpstreamThatLeavesHasNotEndedUnderARequest(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(1)
+		n := m.nodes[0]
+		go func() {
+			time.Sleep(runTime / 2)
+			up := n.upstream.Load()
+			n.Leaving(up.Instance, up.Born)
+		}()
+		f.askRouted(n, "/file/"+fatalPart, "a")
+		f.c.Check(m.ended(), qt.Equals, 1)
+		f.c.Check(lostRuns(n), qt.DeepEquals, map[call.Reason]int{call.ReasonLost: 1})
+	})
+}
--- a/node/local.go
+++ b/node/local.go
@@ -26,19 +26,20 @@
 	if err != nil {
 		return n.gateRefusal(req, err, arrived)
 	}
-	v, cancel := n.openVisit(ctx, req, ticket)
-	run := &localCall{node: n, visit: v, cancel: cancel, request: req, arrived: arrived, started: n.now()}
+	v, cancel := n.openVisit(ctx, req, ticket, up.life)
+	run := &localCall{node: n, upstream: up, visit: v, cancel: cancel, request: req, arrived: arrived, started: n.now()}
 	return run.run(up)
 }
 
 // openVisit opens the account of an admitted call's run.
-func (n *Node) openVisit(ctx context.Context, req *request, ticket admission.Ticket) (*visit, context.CancelFunc) {
+func (n *Node) openVisit(ctx context.Context, req *request, ticket admission.Ticket, life *upstreamLife) (*visit, context.CancelFunc) {
 	v := &visit{
 		call:     req.call,
 		deadline: req.deadline,
 		started:  n.now(),
 		credit:   retry.NewCredit(req.call.Credit),
 		ticket:   ticket,
+		life:     life,
 	}
 	visitCtx, cancel := context.WithDeadline(ctx, req.deadline)
 	v.ctx = visitCtx
@@ -56,6 +57,7 @@
 // answer's body.
 type localCall struct {
 	node     *Node
+	upstream *upstream
 	visit    *visit
 	cancel   context.CancelFunc
 	request  *request
@@ -79,6 +81,9 @@
 func (l *localCall) failed(unsent bool, err error) *answer {
 	nothingRan := l.node.visits.closeProved(l.visit)
 	outcome, reason := call.Unknown, lossReason(l.visit.ctx, err)
+	if !unsent {
+		reason = l.brokenReason(reason)
+	}
 	result := admission.Failed
 	if unsent {
 		l.node.log.Emit(observe.UpstreamGone, observe.Err(err))
--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -66,6 +66,7 @@
 	if l.visit.ctx.Err() != nil {
 		reason = lossReason(l.visit.ctx, l.visit.ctx.Err())
 	}
+	reason = l.brokenReason(reason)
 	l.visit.close()
 	return l.withoutAnswer(admission.Failed, call.Unknown, reason)
 }
--- a/node/local_finish.go
+++ b/node/local_finish.go
@@ -45,6 +45,9 @@
 	hop.Took = l.node.now().Sub(l.started)
 	hop.Status = status
 	hop.CreditLeft = l.visit.creditLeft()
+	if reason == call.ReasonUpstreamEnded {
+		hop.Fingerprint = contentFingerprint(l.request).String()
+	}
 	l.node.record(hop)
 }
 
@@ -80,7 +83,7 @@
 	if isEOF(err) {
 		b.call.finish(resultOf(b.status), call.Complete, call.ReasonNone, b.status)
 	} else {
-		b.call.finish(admission.Failed, call.Unknown, call.ReasonTruncated, b.status)
+		b.call.finish(admission.Failed, call.Unknown, b.call.brokenReason(call.ReasonTruncated), b.status)
 	}
 	return count, err
 }
--- /dev/null
+++ b/node/mortal_test.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/config"
+	"pollengauge.dev/node/testing/memnet"
+	"pollengauge.dev/objects"
+)
+
+const (
+	// runTime is how long an upstream of these tests works on a request.
+	runTime = 60 * time.Millisecond
+	// restartTime is how long one that has ended is away.
+	restartTime = 2 * time.Second
+	// fatalPart in a path makes the upstream that runs the request end.
+	fatalPart = "fatal"
+)
+
+// mortals are upstreams of one service that end while they run a marked request,
+// and are back later, at the same address, as another incarnation.
+type mortals struct {
+	*fleet
+	nodes []*Node
+	// healed upstreams survive the marked requests.
+	healed atomic.Bool
+
+	mu sync.Mutex
+	// ends are the times at which upstreams ended, and arrivals those at which a
+	// path reached one.
+	ends     []time.Time
+	arrivals map[string][]time.Time
+}
+
+// addMortals starts as many nodes of the service desk, each with its upstream.
+func (f *fleet) addMortals(count int, adjust ...func(*Settings)) *mortals {
+	m := &mortals{fleet: f, arrivals: make(map[string][]time.Time)}
+	for i := range count {
+		m.nodes = append(m.nodes, m.addMortal("desk-"+strconv.Itoa(i), adjust...))
+	}
+	f.settle()
+	return m
+}
+
+func (m *mortals) addMortal(name string, adjust ...func(*Settings)) *Node {
+	host := m.net.Host(name)
+	settings := DefaultSettings()
+	settings.Service = "desk"
+	settings.Network = host
+	settings.Store = m.store
+	settings.Peers = m.peers
+	settings.GossipInterval = 100 * time.Millisecond
+	settings.Edge = ""
+	settings.Dialect = plainDialect{}
+	for _, a := range adjust {
+		a(&settings)
+	}
+	n, err := New(settings)
+	m.c.Assert(err, qt.IsNil)
+	m.c.Assert(n.Start(m.t.Context()), qt.IsNil)
+	m.fleet.nodes[name] = n
+	m.peers = append(m.peers, n.Addr("gossip"))
+	set, err := config.Parse([]byte(routedSet), config.YAML)
+	m.c.Assert(err, qt.IsNil)
+	m.c.Assert(n.OfferConfig(set), qt.IsNil)
+	(&mortal{mortals: m, node: n, name: name, host: host}).live(1)
+	return n
+}
+
+// mortal is one upstream in the course of its lives.
+type mortal struct {
+	*mortals
+	node *Node
+	name string
+	host *memnet.Host
+}
+
+// live starts the upstream anew.
+func (u *mortal) live(life int) {
+	addr := u.name + ":7000"
+	listener, err := u.host.Listen(addr)
+	u.c.Assert(err, qt.IsNil)
+	server := &http.Server{}
+	var once sync.Once
+	end := func() {
+		once.Do(func() {
+			_ = server.Close()
+			u.mu.Lock()
+			u.ends = append(u.ends, time.Now())
+			u.mu.Unlock()
+			go func() {
+				if objects.Pause(u.t.Context(), restartTime) {
+					u.live(life + 1)
+				}
+			}()
+		})
+	}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		u.arrived(r.URL.Path)
+		if !objects.Pause(r.Context(), runTime) {
+			return
+		}
+		if strings.Contains(r.URL.Path, fatalPart) && !u.healed.Load() {
+			end()
+			panic(http.ErrAbortHandler)
+		}
+		echo(w, r, nil)
+	})
+	go func() { _ = server.Serve(listener) }()
+	u.t.Cleanup(func() { _ = server.Close() })
+	u.c.Assert(u.node.Announce(Announcement{
+		Service: "desk", Addr: addr, Slots: 50, Instance: "life-" + strconv.Itoa(life) + "-" + u.name, Sequence: 1,
+	}), qt.IsNil)
+}
+
+func (m *mortals) arrived(path string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.arrivals[path] = append(m.arrivals[path], time.Now())
+}
+
+// ended returns how many upstreams have ended.
+func (m *mortals) ended() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.ends)
+}
+
+// reached returns how often a path has come to an upstream.
+func (m *mortals) reached(path string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.arrivals[path])
+}
+
+// reachedAfter counts the arrivals of a path later than a span after the upstream
+// that ended as the count-th.
+func (m *mortals) reachedAfter(path string, count int, span time.Duration) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.ends) < count {
+		return 0
+	}
+	from, late := m.ends[count-1].Add(span), 0
+	for _, at := range m.arrivals[path] {
+		if at.After(from) {
+			late++
+		}
+	}
+	return late
+}
+
+// callers sends requests at an even pace from all nodes in turn until the fleet's
+// test ends or stop is called, and counts those that were served.
+type callers struct {
+	sent, served atomic.Int64
+	stop         func()
+}
+
+func (m *mortals) call(every time.Duration, path func(i int) string) *callers {
+	c := &callers{}
+	stopped := make(chan struct{})
+	var asked sync.WaitGroup
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-stopped:
+				return
+			case <-tick.C:
+			}
+			asked.Go(func() {
+				c.sent.Add(1)
+				if m.askRouted(m.nodes[i%len(m.nodes)], path(i), path(i)+"-"+strconv.Itoa(i)).status == http.StatusOK {
+					c.served.Add(1)
+				}
+			})
+		}
+	})
+	c.stop = func() {
+		close(stopped)
+		ended.Wait()
+		asked.Wait()
+	}
+	return c
+}
+
+// share returns the share of the requests sent that were served.
+func (c *callers) share() float64 { return float64(c.served.Load()) / float64(max(c.sent.Load(), 1)) }
--- a/node/testing/memnet/memnet.go
+++ b/node/testing/memnet/memnet.go
@@ -160,7 +160,7 @@
 		return nil, &net.OpError{Op: "dial", Net: "mem", Err: ctx.Err()}
 	}
 	if !ok || cut {
-		return nil, &net.OpError{Op: "dial", Net: "mem", Err: &ConnError{What: "connection refused"}}
+		return nil, &net.OpError{Op: "dial", Net: "mem", Err: &ConnError{What: refused}}
 	}
 	limit := -1
 	if filter != nil {
@@ -174,7 +174,7 @@
 	case <-ctx.Done():
 	}
 	near.reset()
-	return nil, &net.OpError{Op: "dial", Net: "mem", Err: &ConnError{What: "connection refused"}}
+	return nil, &net.OpError{Op: "dial", Net: "mem", Err: &ConnError{What: refused}}
 }
 
 type memAddr string
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -73,6 +73,7 @@
 	Announcement
 	since     time.Time
 	transport *http.Transport
+	life      *upstreamLife
 }
 
 // Announce takes an announcement of the upstream on this VM; it is the same as
@@ -135,8 +136,10 @@
 	if old != nil && old.Addr == a.Addr && old.Connections == a.Connections && old.sameIncarnation(a) {
 		next.transport = old.transport
 		next.since = old.since
+		next.life = old.life
 	} else {
 		next.transport = newTransport(n.network, a.Connections)
+		next.life = newUpstreamLife()
 	}
 	n.upstream.Store(next)
 	if old != nil && old.transport != next.transport {
--- a/node/visit.go
+++ b/node/visit.go
@@ -27,6 +27,8 @@
 	deadline time.Time
 	started  time.Time
 	credit   *retry.Credit
+	// life is the incarnation of the upstream that runs it.
+	life     *upstreamLife
 	ticket   admission.Ticket
 	children *atmostonce.Visit
 	orphans  uint64
@@ -235,6 +237,22 @@
 	return v, ok
 }
 
+// under returns the open visits at one incarnation of the upstream.
+func (vs *visits) under(life *upstreamLife) []*visit {
+	var open []*visit
+	for i := range vs.shards {
+		s := &vs.shards[i]
+		s.mu.Lock()
+		for _, v := range s.byID {
+			if v.life == life {
+				open = append(open, v)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return open
+}
+
 func (vs *visits) remove(v *visit) {
 	s := vs.shard(v.id)
 	s.mu.Lock()
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -33,6 +33,7 @@
 	{call.ReasonRetryBudget, "the call belonged to a run that was itself a retry, and the retries of the service had reached their share", "Find the service that fails; more retries would only add load."},
 	{call.ReasonConnect, "no connection could be made, so nothing was sent", "See whether the target runs, the upstream beside its node too, and whether its connections are used up."},
 	{call.ReasonLost, "the connection broke after the call was sent", "Look for a crash or restart of the target. Ask the upstream about the key before sending again."},
+	{call.ReasonUpstreamEnded, "the upstream ended while it was running the call", "Read the upstream's last log lines. Records with the same fingerprint and this reason are the same request: if it recurs, it is the likely cause."},
 	{call.ReasonTimeout, "the deadline passed after the call was dispatched", "Find the slow hop. Ask the upstream about the key before sending again."},
 	{call.ReasonTruncated, "the upstream's answer ended early", "Look for a crash or restart of the upstream during the call."},
 	{call.ReasonVisitClosed, "the upstream called out for a request that had already been answered", "Make the upstream stop work when its request is cancelled."},
--- a/observe/decision.go
+++ b/observe/decision.go
@@ -75,6 +75,9 @@
 	if h.Ended != "" {
 		fields = append(fields, Str("ended", h.Ended))
 	}
+	if h.Fingerprint != "" {
+		fields = append(fields, Str("fingerprint", h.Fingerprint))
+	}
 	if h.Limit > 0 {
 		fields = append(fields, Int("limit", h.Limit), Int("queue", h.Queue))
 	}
--- a/observe/events.go
+++ b/observe/events.go
@@ -20,6 +20,7 @@
 	SettingsReloaded    = event(1016, "settings-reloaded", Info, "The settings file was read again; so many of its tables have changed.", noAction)
 	SettingsRefused     = event(1017, "settings-refused", Error, "The settings file changed and can't be used; the last settings stay in force.", "Correct the file; it is read again at its next change.")
 	SettingsKept        = event(1018, "settings-kept", Warn, "A setting changed that is read at the start only.", "Restart the node to put it in force.")
+	UpstreamEnded       = event(1020, "upstream-ended", Warn, "The upstream ended without notice while it was running calls: nothing listens at its address any more.", "Read the upstream's last log lines; look for a fingerprint that recurs in records with the reason upstream-ended.")
 	TraceExportFailed   = event(1014, "trace-export-failed", Warn, "Spans could not be sent to the collector.", "See whether the collector is up; calls are not affected.")
 )
 
--- a/observe/hop.go
+++ b/observe/hop.go
@@ -88,6 +88,9 @@
 	Ended string `json:"ended,omitempty"`
 	// Key is the idempotency key as given by RedactKey.
 	Key string `json:"key,omitempty"`
+	// Fingerprint stands for the content of a request whose upstream ended: the same
+	// request has the same one, whatever its id.
+	Fingerprint string `json:"fingerprint,omitempty"`
 	// Load is the node's load in thousandths of its limit.
 	Load     int `json:"load"`
 	Limit    int `json:"limit"`
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -31,6 +31,7 @@
 // that may be used directly; those of a profile come from Profile.
 type Metrics struct {
 	Limit, InFlight, Blocked, QueueLength metrics.Gauge
+	UpstreamsEnded                        metrics.Counter
 	AdmissionLevel, Draining              metrics.Gauge
 	Load                                  metrics.GaugeFloat64
 
@@ -101,6 +102,7 @@
 
 func (m *Metrics) addAdmission() {
 	m.Limit = m.gauges(limitMetric).With()
+	m.UpstreamsEnded = m.counters(endedMetric).With()
 	m.InFlight = m.gauges(inFlightMetric).With()
 	m.Blocked = m.gauges(blockedMetric).With()
 	m.QueueLength = m.gauges(queueMetric).With()
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -42,6 +42,7 @@
 	queueMetric      = define("pollengauge_queue_length", GaugeKind, unitCount, "Calls waiting for dispatch.")
 	admitLevelMetric = define("pollengauge_admission_level", GaugeKind, unitCount, "Admission level in force; requests below it are refused. 0 refuses none.")
 	loadMetric       = define("pollengauge_load_ratio", GaugeKind, unitRatio, "Calls in flight and waiting as a share of the limit.")
+	endedMetric      = define("pollengauge_upstreams_ended_total", CounterKind, unitCount, "Times that the upstream beside this node ended without notice while it was running calls.")
 	drainingMetric   = define("pollengauge_draining", GaugeKind, unitCount, "1 while the node takes no new work.")
 )
 
--- a/routing/target.go
+++ b/routing/target.go
@@ -63,7 +63,7 @@
 
 func (f Feedback) verdict() verdict {
 	switch f.Reason {
-	case call.ReasonConnect, call.ReasonLost, call.ReasonTimeout,
+	case call.ReasonConnect, call.ReasonLost, call.ReasonUpstreamEnded, call.ReasonTimeout,
 		call.ReasonTruncated, call.ReasonNotBelieved, call.ReasonNoUpstream, call.ReasonOtherInstance,
 		call.ReasonUpstreamFailed:
 		if f.Deeper {
