quarantine, node: a request under which upstreams end is held back

Cause: a run whose upstream ends was retried as a lost answer is, so one caller's request ended as many upstreams as it had attempts, and nothing at any node knew the request when it came again. Class: a retry that carries its cause along; blame that nobody keeps. Change: module quarantine. Each node counts, by the content of requests, the upstreams that end beside it. Of the requests that an upstream was running, only those that were there at the most ends before are counted one more; the rest are suspects. From two ends on a request is held: refused at once as not run, by whoever would send it and by the node that would run it, with Retry-After. Counts travel with the retry, to the members of the service (one end), with the members' gossip (from two on) and through the platform's store (from three on), so that a restart of all nodes keeps them. A completed run, anywhere, clears. Why it works: an innocent request is held only if it ran beside the cause at two upstreams in turn, and completes at its trial; the cause can't complete. Upstreams that end together count once. TestBrokenAnswerWithoutLengthIsNoWholeOne waits a second longer at its end: the node now dials its stand-in once more, which has to end that connection; what it checks is as before.

--- a/call/context.go
+++ b/call/context.go
@@ -31,6 +31,10 @@
 	// HeaderRepeat marks a call whose work some upstream may have had before. It is
 	// absent on others.
 	HeaderRepeat = "Pollengauge-Repeat"
+	// HeaderEnds is how many upstreams in turn are known to have ended while they ran
+	// the call: on the way down before this attempt, in an answer with it. It is
+	// absent at 0.
+	HeaderEnds = "Pollengauge-Upstream-Ends"
 	// HeaderVisit names, between an upstream and its own node, the call that
 	// the upstream is serving.
 	HeaderVisit = "Pollengauge-Visit"
@@ -79,7 +83,7 @@
 // NodeHeaders are the headers that only nodes may set: what they tell each
 // other, and their upstreams in the project's own interface.
 var NodeHeaders = []string{
-	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat,
+	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat, HeaderEnds,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
 	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderStale,
 }
@@ -112,6 +116,8 @@
 	maxLoad = 100_000
 	// maxPressure is the whole, in thousandths.
 	maxPressure = 1000
+	// maxEnds is where the count of upstreams that have ended stops.
+	maxEnds = 100
 	// maxWork is the most work of a Report, in milliseconds.
 	maxWork = 1_000_000
 )
@@ -143,6 +149,9 @@
 	// call is made by a run of which that is so. The load is then a retry's, at
 	// whatever depth.
 	Repeat bool
+	// Ends is how many upstreams in turn are known to have ended while they ran the
+	// call.
+	Ends int
 	// Host is the Host that the caller named, "" where it is the service.
 	Host string
 	// Origin is the service on the VM where the request entered the system,
@@ -166,6 +175,7 @@
 	setOptionalNumber(h, HeaderProgress, c.Progress)
 	setOptionalNumber(h, HeaderHeldBack, min(c.HeldBack, maxPressure))
 	setOptionalNumber(h, HeaderRepeat, flag(c.Repeat))
+	setOptionalNumber(h, HeaderEnds, min(c.Ends, maxEnds))
 }
 
 // flag is a truth as a number.
@@ -229,6 +239,9 @@
 	if err != nil {
 		return Context{}, err
 	}
+	if c.Ends, err = optionalNumber(h, HeaderEnds, maxEnds); err != nil {
+		return Context{}, err
+	}
 	if c.Host, err = optionalToken(h, HeaderHost, maxHostLength); err != nil {
 		return Context{}, err
 	}
@@ -261,6 +274,9 @@
 	// Work is how long the request held slots of the upstream that Pressure comes
 	// from, in milliseconds. Inject writes at most a thousand seconds.
 	Work int
+	// Ends is how many upstreams in turn have ended while they ran the call, the
+	// answering hop's included. Inject writes at most 100.
+	Ends int
 }
 
 // Inject writes r to the headers of an answer.
@@ -281,6 +297,9 @@
 	if r.Work > 0 {
 		h.Set(HeaderWork, strconv.Itoa(min(r.Work, maxWork)))
 	}
+	if r.Ends > 0 {
+		h.Set(HeaderEnds, strconv.Itoa(min(r.Ends, maxEnds)))
+	}
 }
 
 // ExtractReport reads the report of a peer's answer. On an error the report
@@ -307,6 +326,9 @@
 	if r.Work, err = optionalNumber(h, HeaderWork, maxWork); err != nil {
 		return Report{}, err
 	}
+	if r.Ends, err = optionalNumber(h, HeaderEnds, maxEnds); err != nil {
+		return Report{}, err
+	}
 	if reason := h.Get(HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -85,6 +85,9 @@
 	// ReasonUpstreamEnded: the upstream ended while it was running the call. The
 	// call may be the cause.
 	ReasonUpstreamEnded Reason = "upstream-ended"
+	// ReasonHeld: upstreams ended while they ran this request before, so it is held
+	// back from the others.
+	ReasonHeld Reason = "held"
 	// ReasonTimeout: the deadline passed after the call was dispatched, or before
 	// its body had come.
 	ReasonTimeout Reason = "timeout"
--- a/membership/config.go
+++ b/membership/config.go
@@ -229,6 +229,9 @@
 	if len(m.WorkTimes) > maxWorkTimes {
 		return &ConfigError{Field: "WorkTimes", Want: "at most 4"}
 	}
+	if len(m.Held) > maxHeld {
+		return &ConfigError{Field: "Held", Want: "at most 16"}
+	}
 	for _, id := range m.Inherits {
 		if _, ok := parseID(id); !ok {
 			return &ConfigError{Field: "Inherits", Want: "32 hexadecimal digits each"}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -140,7 +140,7 @@
 }
 
 // Update changes the own entry and tells it at once. Only Slots, Draining,
-// WorkTimes and Inherits can be changed; an invalid change is a *ConfigError and has no effect.
+// WorkTimes, Held and Inherits can be changed; an invalid change is a *ConfigError and has no effect.
 func (g *Gossip) Update(change func(*Member)) error {
 	g.mu.Lock()
 	next := g.table.self.m.clone()
@@ -152,6 +152,7 @@
 	g.table.announce(func(m *Member) {
 		m.Slots, m.Draining = next.Slots, next.Draining
 		m.Inherits, m.WorkTimes = slices.Clone(next.Inherits), slices.Clone(next.WorkTimes)
+		m.Held = slices.Clone(next.Held)
 	})
 	g.rumors.add(g.table.self.id, false)
 	g.unlockAndPublish()
--- a/membership/member.go
+++ b/membership/member.go
@@ -55,6 +55,9 @@
 	WorkTimes []WorkTime
 	// Inherits lists the incarnations whose key tables this member took over.
 	Inherits []string
+	// Held are the requests to the member's service that it says are held back, or
+	// cleared again; at most 16.
+	Held []HeldRequest
 	// State is what the reading node believes; a member can't set it.
 	State State
 	// Seq counts the member's own announcements, refutations included.
@@ -75,6 +78,16 @@
 	Micros  uint32
 }
 
+// HeldRequest is what a member says of one request under which upstreams have ended.
+type HeldRequest struct {
+	// Fingerprint stands for the request's content.
+	Fingerprint uint64
+	// Ends is how many upstreams have ended, 0 for a request that is cleared.
+	Ends uint8
+	// Stamp orders what members say of the same request.
+	Stamp uint64
+}
+
 // NewID returns a random process incarnation.
 func NewID() string {
 	var raw memberID
@@ -119,5 +132,6 @@
 func (m Member) clone() Member {
 	m.Inherits = slices.Clone(m.Inherits)
 	m.WorkTimes = slices.Clone(m.WorkTimes)
+	m.Held = slices.Clone(m.Held)
 	return m
 }
--- a/membership/message.go
+++ b/membership/message.go
@@ -29,7 +29,9 @@
 	maxInherits = 32
 	// maxWorkTimes bounds Member.WorkTimes, which each change of one sends to all.
 	maxWorkTimes = 4
-	maxSlots     = 1 << 20
+	// maxHeld bounds Member.Held, for the same reason.
+	maxHeld  = 16
+	maxSlots = 1 << 20
 	// maxEntries bounds one message. A sync of a larger table takes several.
 	maxEntries = 2048
 	// maxSeqAhead bounds how far a claim may jump. Without it one corrupt Seq
@@ -63,6 +65,7 @@
 	Draining   bool
 	Inherits   []string
 	WorkTimes  []WorkTime
+	Held       []HeldRequest
 }
 
 // Message is a request or a reply. Fields that are not set cost nothing.
@@ -149,6 +152,8 @@
 		return &InvalidError{Field: "slots", Value: strconv.Itoa(int(e.Slots)), Want: "at most " + strconv.Itoa(maxSlots)}
 	case len(e.WorkTimes) > maxWorkTimes:
 		return &InvalidError{Field: "work times", Value: strconv.Itoa(len(e.WorkTimes)), Want: "at most " + strconv.Itoa(maxWorkTimes)}
+	case len(e.Held) > maxHeld:
+		return &InvalidError{Field: "held requests", Value: strconv.Itoa(len(e.Held)), Want: "at most " + strconv.Itoa(maxHeld)}
 	case len(e.Inherits) > maxInherits:
 		return &InvalidError{Field: "inherits", Value: strconv.Itoa(len(e.Inherits)), Want: "at most " + strconv.Itoa(maxInherits)}
 	}
@@ -208,7 +213,7 @@
 		ID: string(id[:]), State: m.State, Seq: m.Seq, Revision: m.Revision, Epoch: m.Epoch,
 		Service: m.Service, Addr: m.Addr, GossipAddr: m.GossipAddr,
 		Zone: m.Zone, Region: m.Region, Slots: uint32(m.Slots), Draining: m.Draining,
-		WorkTimes: m.WorkTimes,
+		WorkTimes: m.WorkTimes, Held: m.Held,
 	}
 	for _, s := range m.Inherits {
 		if heir, ok := parseID(s); ok {
@@ -233,7 +238,7 @@
 		ID: rawID(e.ID).hex(), Service: e.Service, Addr: e.Addr, GossipAddr: e.GossipAddr,
 		Zone: e.Zone, Region: e.Region, Slots: int(e.Slots), Draining: e.Draining,
 		State: e.State, Seq: e.Seq, Revision: e.Revision, Epoch: e.Epoch,
-		WorkTimes: e.WorkTimes,
+		WorkTimes: e.WorkTimes, Held: e.Held,
 	}
 	for _, s := range e.Inherits {
 		m.Inherits = append(m.Inherits, rawID(s).hex())
@@ -247,9 +252,12 @@
 // workTimeSize is the length of a WorkTime in the codec, about.
 const workTimeSize = 12
 
+// heldSize is the length of a HeldRequest in the codec, about.
+const heldSize = 16
+
 // size estimates the encoded length.
 func (e *Entry) size() int {
-	n := entryOverhead + len(e.Inherits)*(len(memberID{})+1) + len(e.WorkTimes)*workTimeSize
+	n := entryOverhead + len(e.Inherits)*(len(memberID{})+1) + len(e.WorkTimes)*workTimeSize + len(e.Held)*heldSize
 	if e.full() {
 		n += 20 + len(e.Service) + len(e.Addr) + len(e.GossipAddr) + len(e.Zone) + len(e.Region)
 	}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -7,6 +7,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/quarantine"
 	"pollengauge.dev/retry"
 	"pollengauge.dev/routing"
 )
@@ -20,6 +21,8 @@
 	// free counts the attempts that nothing was paid for.
 	free  int
 	worst call.Level
+	// ends is how many upstreams in turn have ended under the request.
+	ends int
 	// reached is set once an attempt may have come as far as an upstream.
 	reached bool
 	// failed is an upstream's error that was repeated, nil if none was. It is the
@@ -34,10 +37,17 @@
 // answer, or none may follow. credit is the caller's account: the root's own,
 // or the visit's for a call that an upstream makes.
 func (n *Node) dispatch(ctx context.Context, req *request, credit *retry.Credit) *answer {
+	refused, trial := n.heldBack(req)
+	if refused != nil {
+		return refused
+	}
 	d := &dispatching{node: n, req: req, credit: credit}
 	if unpaid := n.payFirst(req); unpaid != nil {
 		return unpaid
 	}
+	if trial {
+		return n.tryHeld(ctx, req)
+	}
 	for attempt := 1; ; attempt++ {
 		a := d.attempt(ctx, attempt)
 		if a.target == "" || !d.again(ctx, a) {
@@ -70,6 +80,7 @@
 	start := n.now()
 	req := *d.req
 	req.call.Repeat = d.req.call.Repeat || d.reached
+	req.call.Ends = max(req.call.Ends, d.ends)
 	req.span = d.req.span.child()
 	a := n.attempt(ctx, target, &req, lent)
 	took := n.now().Sub(start)
@@ -78,6 +89,8 @@
 		d.takeBack(lent, a.report.CreditLeft)
 	}
 	d.worst = max(d.worst, a.report.Worst)
+	d.ends = max(d.ends, a.report.Ends)
+	n.heardEnds(d.req, a.report.Ends)
 	d.tried = append(d.tried, target.ID)
 	d.mayHaveRun = d.mayHaveRun || a.report.Outcome != call.NotRun
 	d.reached = d.reached || a.report.Outcome != call.NotRun || !retry.BeforeUpstream(a.report.Reason)
@@ -128,6 +141,7 @@
 	if !d.req.body.rewind() || ctx.Err() != nil {
 		return false
 	}
+	decision.Held = d.ends >= quarantine.HoldFrom && !n.settings.Ablate.NoQuarantine
 	decision.Free = n.spoken()
 	decision.FreeMade = d.free
 	retries := n.retriesOf(d.req.service)
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -205,6 +205,8 @@
 				f.c.Check(err != nil, qt.Equals, broken, qt.Commentf("HTTP/%s: %v", version, err))
 				synctest.Wait()
 				f.c.Check(n.gate.InFlight(), qt.Equals, 0)
+				// The node has also looked whether the upstream is still there.
+				time.Sleep(time.Second)
 			})
 		}
 	}
--- a/node/life.go
+++ b/node/life.go
@@ -9,6 +9,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/quarantine"
 )
 
 // upstreamLife tells whether one incarnation of the upstream still runs.
@@ -23,6 +24,8 @@
 	// silent is until when the upstream is not asked again, as it answered nothing.
 	// The holder of turn has it.
 	silent time.Time
+	// completed has requests that completed.
+	completed quarantine.Completions
 }
 
 func newUpstreamLife() *upstreamLife { return &upstreamLife{turn: make(chan struct{}, 1)} }
@@ -80,10 +83,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// upstreamEnded reports an upstream that has ended, and the requests that it was
-// running.
+// upstreamEnded reports an upstream that has ended, and counts it against the requests
+// that it was running.
 func (n *Node) upstreamEnded(up *upstream) {
 	runs := n.visits.under(up.life)
+	n.blameRuns(runs)
 	n.metrics.UpstreamsEnded.Inc(1)
 	n.log.Emit(observe.UpstreamEnded,
 		observe.Str("addr", up.Addr),
@@ -97,8 +101,9 @@
 	if reason != call.ReasonLost && reason != call.ReasonTruncated {
 		return reason
 	}
-	if l.node.endedUnder(l.upstream) {
-		return call.ReasonUpstreamEnded
+	if !l.node.endedUnder(l.upstream) {
+		return reason
 	}
-	return reason
+	l.ends = l.node.endsOf(l.request)
+	return call.ReasonUpstreamEnded
 }
--- a/node/local.go
+++ b/node/local.go
@@ -22,8 +22,15 @@
 	if up == nil {
 		return n.refuse(call.NotRun, call.ReasonNoUpstream, 0)
 	}
+	refused, trial := n.enterRun(req)
+	if refused != nil {
+		return refused
+	}
 	ticket, err := n.gate.Acquire(ctx, n.admissionRequest(req))
 	if err != nil {
+		if trial {
+			n.abandonRun(req)
+		}
 		return n.gateRefusal(req, err, arrived)
 	}
 	v, cancel := n.openVisit(ctx, req, ticket, up.life)
@@ -40,6 +47,7 @@
 		credit:   retry.NewCredit(req.call.Credit),
 		ticket:   ticket,
 		life:     life,
+		request:  req,
 	}
 	visitCtx, cancel := context.WithDeadline(ctx, req.deadline)
 	v.ctx = visitCtx
@@ -64,6 +72,9 @@
 	arrived  time.Time
 	started  time.Time
 	finished bool
+	// ends is how many upstreams have ended under the request, the one here included,
+	// if it has.
+	ends int
 }
 
 // run sends the call to the upstream and judges what comes of it.
@@ -106,6 +117,7 @@
 	a := l.node.refuse(outcome, reason, 0)
 	a.reported = true
 	l.node.fillReport(&a.report, l.visit)
+	a.report.Ends = l.ends
 	return a
 }
 
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -73,6 +73,7 @@
 		n.tellWorkTimes()
 		if count%sweepEvery == 0 {
 			n.keys.Sweep()
+			n.sweepHeld()
 			n.metrics.Rotate()
 		}
 		if count%collectEvery == 0 {
--- a/node/members.go
+++ b/node/members.go
@@ -178,6 +178,7 @@
 // later, and routing would keep a member that has gone, or miss one that has
 // come, until the next change.
 func (n *Node) refreshTargets() {
+	n.mergeHeld(n.gossip.Members())
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	members := n.gossip.Members()
--- a/node/mortal_test.go
+++ b/node/mortal_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/node/testing/memnet"
 	"pollengauge.dev/objects"
@@ -37,11 +38,13 @@
 	// path reached one.
 	ends     []time.Time
 	arrivals map[string][]time.Time
+	// kill ends the upstream beside each node, whatever it is running.
+	kill map[*Node]func()
 }
 
 // addMortals starts as many nodes of the service desk, each with its upstream.
 func (f *fleet) addMortals(count int, adjust ...func(*Settings)) *mortals {
-	m := &mortals{fleet: f, arrivals: make(map[string][]time.Time)}
+	m := &mortals{fleet: f, arrivals: make(map[string][]time.Time), kill: make(map[*Node]func())}
 	for i := range count {
 		m.nodes = append(m.nodes, m.addMortal("desk-"+strconv.Itoa(i), adjust...))
 	}
@@ -102,6 +105,9 @@
 			}()
 		})
 	}
+	u.mu.Lock()
+	u.kill[u.node] = end
+	u.mu.Unlock()
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.arrived(r.URL.Path)
 		if !objects.Pause(r.Context(), runTime) {
@@ -126,6 +132,14 @@
 	m.arrivals[path] = append(m.arrivals[path], time.Now())
 }
 
+// killOne ends the upstream beside a node.
+func (m *mortals) killOne(n *Node) {
+	m.mu.Lock()
+	kill := m.kill[n]
+	m.mu.Unlock()
+	kill()
+}
+
 // ended returns how many upstreams have ended.
 func (m *mortals) ended() int {
 	m.mu.Lock()
@@ -157,11 +171,11 @@
 	return late
 }
 
-// callers sends requests at an even pace from all nodes in turn until the fleet's
-// test ends or stop is called, and counts those that were served.
+// callers send requests at an even pace to all nodes in turn, until stop is called. It counts those that were served, and those that were
+// refused as held.
 type callers struct {
-	sent, served atomic.Int64
-	stop         func()
+	sent, served, held atomic.Int64
+	stop               func()
 }
 
 func (m *mortals) call(every time.Duration, path func(i int) string) *callers {
@@ -180,8 +194,12 @@
 			}
 			asked.Go(func() {
 				c.sent.Add(1)
-				if m.askRouted(m.nodes[i%len(m.nodes)], path(i), path(i)+"-"+strconv.Itoa(i)).status == http.StatusOK {
+				got := m.askRouted(m.nodes[i%len(m.nodes)], path(i), path(i)+"-"+strconv.Itoa(i))
+				switch {
+				case got.status == http.StatusOK:
 					c.served.Add(1)
+				case got.reason == string(call.ReasonHeld):
+					c.held.Add(1)
 				}
 			})
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -60,8 +60,10 @@
 	// adjusted has the settings that may have changed since the start.
 	adjusted atomic.Pointer[Adjustment]
 	repeats  *retry.Repeats
-	lag      lagMeter
-	offered  offered
+	// quarantine has the requests under which upstreams end.
+	quarantine *quarantines
+	lag        lagMeter
+	offered    offered
 	// unsettled are fates that no table holds any more.
 	unsettled unsettled
 	keys      *atmostonce.Table
@@ -184,6 +186,7 @@
 	}
 	n.followRatio()
 	n.repeats = retry.NewRepeats(retry.RepeatsConfig{Seed: n.random(), Start: n.started})
+	n.quarantine = newQuarantines(s.Service)
 	n.router = routing.NewRouter(routing.Config{
 		Node:      n.id,
 		Zone:      s.Zone,
@@ -243,6 +246,7 @@
 		n.done.Go(func() { n.lag.run(ctx) })
 	}
 	n.done.Go(func() { n.runWitness(ctx) })
+	n.done.Go(func() { n.runKeptRecords(ctx) })
 	n.log.Emit(observe.NodeStarted, observe.Str("id", n.id), observe.Str("zone", n.settings.Zone), observe.Str("region", n.settings.Region))
 	return nil
 }
--- a/node/peer.go
+++ b/node/peer.go
@@ -24,6 +24,10 @@
 		n.serveWitness(w, r)
 		return
 	}
+	if n.takesSuspects(r) {
+		n.serveSuspects(w, r)
+		return
+	}
 	if err := checkTarget(r); err != nil {
 		n.writeBad(w, r, err)
 		return
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -1,15 +1,28 @@
 package node
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/quarantine"
+)
+
+const (
+	// fatalPath is a read under which every upstream ends.
+	fatalPath = "/browse/" + fatalPart
+	// fatalWrite is a request of that kind that can't be repeated.
+	fatalWrite = "/file/" + fatalPart
 )
 
-// fatalPath is a read under which every upstream ends.
-const fatalPath = "/browse/" + fatalPart
+// each gives every request a path of its own.
+func each(i int) string { return "/browse/" + strconv.Itoa(i) }
+
+// always gives every request the same path.
+func always(path string) func(int) string { return func(int) string { return path } }
 
 // Guards against handing a request that ends its upstreams to one after the other,
 // while the callers of innocent requests get no answer.
@@ -26,3 +39,187 @@
 		f.c.Check(innocent.share() > 0.98, qt.IsTrue, qt.Commentf("%.3f of the innocent requests served", innocent.share()))
 	})
 }
+
+// Shows that the quarantine is what holds the request back.
+func TestWithoutQuarantineUpstreamsEndOnAndOn(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(3, func(s *Settings) { s.Ablate.NoQuarantine = true })
+		culprit := m.call(1500*time.Millisecond, always(fatalPath))
+		time.Sleep(20 * time.Second)
+		culprit.stop()
+		f.c.Check(m.reachedAfter(fatalPath, 3, 3*time.Second) > 3, qt.IsTrue)
+	})
+}
+
+// Guards against counting for each upstream alone: a request that is never repeated by
+// a node comes to another upstream each time.
+func TestUnrepeatableRequestIsCountedOverAllUpstreams(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(6)
+		innocent := m.call(10*time.Millisecond, each)
+		culprit := m.call(1500*time.Millisecond, always(fatalWrite))
+		time.Sleep(time.Minute)
+		culprit.stop()
+		innocent.stop()
+		f.c.Check(m.ended() <= 3, qt.IsTrue, qt.Commentf("%d upstreams ended", m.ended()))
+		f.c.Check(innocent.share() > 0.98, qt.IsTrue, qt.Commentf("%.3f of the innocent requests served", innocent.share()))
+		f.c.Check(innocent.held.Load(), qt.Equals, int64(0))
+	})
+}
+
+// Guards against several such requests at once that are taken for one another, or for
+// the popular read beside them.
+func TestSeveralCausesAreHeldBackAndThePopularReadIsNot(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(6)
+		popular := m.call(10*time.Millisecond, always("/browse/popular"))
+		culprits := m.call(700*time.Millisecond, func(i int) string { return fatalPath + strconv.Itoa(i%4) })
+		time.Sleep(time.Minute)
+		culprits.stop()
+		popular.stop()
+		for i := range 4 {
+			path := fatalPath + strconv.Itoa(i)
+			f.c.Check(m.reached(path) <= 6, qt.IsTrue, qt.Commentf("%s reached upstreams %d times", path, m.reached(path)))
+		}
+		f.c.Check(popular.share() > 0.98, qt.IsTrue, qt.Commentf("%.3f of the popular reads served", popular.share()))
+	})
+}
+
+// Guards against holding back requests for upstreams that end of themselves, often or
+// all of them at once.
+func TestEndsOfOtherCausesHoldNothingBack(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(4)
+		popular := m.call(10*time.Millisecond, always("/browse/popular"))
+		innocent := m.call(10*time.Millisecond, each)
+		for i := range 30 {
+			time.Sleep(time.Second)
+			m.killOne(m.nodes[i%len(m.nodes)])
+			if i%10 == 0 {
+				for _, n := range m.nodes {
+					m.killOne(n)
+				}
+			}
+		}
+		popular.stop()
+		innocent.stop()
+		f.c.Check(m.ended() > 30, qt.IsTrue)
+		refused := func(c *callers) float64 { return float64(c.held.Load()) / float64(c.sent.Load()) }
+		f.c.Check(refused(popular) < 0.01, qt.IsTrue, qt.Commentf("%d popular reads held", popular.held.Load()))
+		f.c.Check(refused(innocent) < 0.01, qt.IsTrue, qt.Commentf("%d innocent requests held", innocent.held.Load()))
+	})
+}
+
+// untilHeld has the fatal read come until three upstreams have ended under it.
+func (m *mortals) untilHeld() {
+	for range 100 {
+		if m.ended() >= 3 {
+			m.settle()
+			return
+		}
+		m.askRouted(m.nodes[0], fatalPath, "x")
+		time.Sleep(time.Second)
+	}
+	m.c.Fatalf("%d upstreams ended", m.ended())
+}
+
+// Guards against finding the cause anew, at the price of three upstreams, when the
+// nodes were restarted.
+func TestHeldRequestIsKnownAfterARestart(t *testing.T) {
+	for _, all := range []bool{true, false} {
+		t.Run(fmt.Sprintf("all=%v", all), func(t *testing.T) {
+			inFleet(t, func(f *fleet) {
+				m := f.addMortals(3)
+				m.untilHeld()
+				old := m.nodes
+				if all {
+					for name, n := range f.nodes {
+						n.Close()
+						delete(f.nodes, name)
+					}
+					m.nodes, f.peers = nil, nil
+				}
+				for i := range 3 {
+					m.nodes = append(m.nodes, m.addMortal("new-"+strconv.Itoa(i)))
+				}
+				f.settle()
+				if !all {
+					for _, n := range old {
+						n.Close()
+					}
+					f.settle()
+				}
+				fresh := m.nodes[len(m.nodes)-1]
+				for i := range 10 {
+					got := f.askRouted(fresh, fatalPath, "again-"+strconv.Itoa(i))
+					f.c.Check(got.reason, qt.Equals, "held")
+				}
+				f.c.Check(m.ended(), qt.Equals, 3)
+			})
+		})
+	}
+}
+
+// Guards against a request that stays held once its upstreams are mended, and against
+// finding that out at all of them at once.
+func TestMendedUpstreamsGetTheRequestAgain(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(3)
+		m.untilHeld()
+		m.healed.Store(true)
+		before := m.reached(fatalPath)
+		time.Sleep(quarantine.HoldTime(3))
+		f.c.Check(f.askRouted(m.nodes[1], fatalPath, "trial").status, qt.Equals, 200)
+		f.c.Check(m.reached(fatalPath), qt.Equals, before+1)
+		time.Sleep(time.Second)
+		for i, n := range m.nodes {
+			f.c.Check(f.askRouted(n, fatalPath, "after-"+strconv.Itoa(i)).status, qt.Equals, 200)
+		}
+	})
+}
+
+// Guards against a request that an operator can't release.
+func TestOperatorClearsAHeldRequest(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(3)
+		m.untilHeld()
+		m.healed.Store(true)
+		held := m.nodes[0].HeldRequests(false)
+		f.c.Assert(held, qt.HasLen, 1)
+		f.c.Check(held[0].Ends, qt.Equals, 3)
+		fingerprint, err := quarantine.ParseFingerprint(held[0].Fingerprint)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Check(m.nodes[2].ClearHeld(fingerprint), qt.IsNil)
+		f.c.Check(m.nodes[2].ClearHeld(fingerprint+1), qt.ErrorAs, new(*NotHeldError))
+		time.Sleep(time.Second)
+		for i, n := range m.nodes {
+			f.c.Check(f.askRouted(n, fatalPath, strconv.Itoa(i)).status, qt.Equals, 200)
+		}
+	})
+}
+
+// Guards against news that does not cross a healed cut: both halves find the cause by
+// themselves, and neither pays for it again.
+func TestHalvesOfACutFleetHoldTheRequestEach(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(6)
+		cut := func(change func(a, b string)) {
+			for a := range 3 {
+				for b := 3; b < 6; b++ {
+					change("desk-"+strconv.Itoa(a), "desk-"+strconv.Itoa(b))
+					change("desk-"+strconv.Itoa(b), "desk-"+strconv.Itoa(a))
+				}
+			}
+		}
+		cut(f.net.Cut)
+		culprit := m.call(700*time.Millisecond, always(fatalPath))
+		time.Sleep(40 * time.Second)
+		f.c.Check(m.ended() <= 6, qt.IsTrue, qt.Commentf("%d upstreams ended", m.ended()))
+		cut(f.net.Heal)
+		time.Sleep(10 * time.Second)
+		before := m.ended()
+		time.Sleep(time.Minute)
+		culprit.stop()
+		f.c.Check(m.ended(), qt.Equals, before)
+	})
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -130,6 +130,7 @@
 	NoVisitProof bool // an upstream's shed answer is believed (unsafe)
 
 	// The rest are unsafe as well, and there to show that each is needed.
+	NoQuarantine     bool // requests under which upstreams end are sent on
 	RepeatsEarn      bool // a call of a run that is a retry earns retries like a first one
 	CopiedCredit     bool // a call hands down its whole credit and keeps it
 	TransportReplays bool // http.Transport may resend a request by itself
--- a/node/step_record.go
+++ b/node/step_record.go
@@ -10,7 +10,9 @@
 // recordRoot records a root request that has its outcome.
 func (n *Node) recordRoot(req *request, a *answer, start time.Time) {
 	took := n.recordStep(req, a, observe.Root, start)
-	n.offered.note(req.call.Level.Priority(), a.report.Outcome == call.NotRun, n.now())
+	// A request that is held back tells callers nothing of the load.
+	crowded := a.report.Outcome == call.NotRun && a.report.Reason != call.ReasonHeld
+	n.offered.note(req.call.Level.Priority(), crowded, n.now())
 	profile := n.metrics.Profile(req.call.Profile)
 	profile.Call(a.report.Outcome, a.report.Reason)
 	profile.Total.Observe(took)
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -95,6 +95,7 @@
 	setCounter(n.metrics.LogLinesLost.With("left-out"), uint64(leftOut))
 	setCounter(n.metrics.LogLinesLost.With("dropped"), uint64(dropped))
 	n.updateServiceGauges()
+	n.updateHeldGauges()
 	if n.gossip != nil {
 		stats := n.gossip.Stats()
 		setCounter(n.metrics.GossipBytes.With(observe.DirectionInbound), stats.BytesIn)
--- a/node/visit.go
+++ b/node/visit.go
@@ -29,6 +29,7 @@
 	credit   *retry.Credit
 	// life is the incarnation of the upstream that runs it.
 	life     *upstreamLife
+	request  *request
 	ticket   admission.Ticket
 	children *atmostonce.Visit
 	orphans  uint64
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -34,6 +34,7 @@
 	{call.ReasonConnect, "no connection could be made, so nothing was sent", "See whether the target runs, the upstream beside its node too, and whether its connections are used up."},
 	{call.ReasonLost, "the connection broke after the call was sent", "Look for a crash or restart of the target. Ask the upstream about the key before sending again."},
 	{call.ReasonUpstreamEnded, "the upstream ended while it was running the call", "Read the upstream's last log lines. Records with the same fingerprint and this reason are the same request: if it recurs, it is the likely cause."},
+	{call.ReasonHeld, "upstreams ended while they ran the same request before, so it is held back", "Find the fingerprint with pollengauge quarantine list and mend the upstream; pollengauge quarantine clear lets the request run at once."},
 	{call.ReasonTimeout, "the deadline passed after the call was dispatched", "Find the slow hop. Ask the upstream about the key before sending again."},
 	{call.ReasonTruncated, "the upstream's answer ended early", "Look for a crash or restart of the upstream during the call."},
 	{call.ReasonVisitClosed, "the upstream called out for a request that had already been answered", "Make the upstream stop work when its request is cancelled."},
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -32,8 +32,11 @@
 type Metrics struct {
 	Limit, InFlight, Blocked, QueueLength metrics.Gauge
 	UpstreamsEnded                        metrics.Counter
-	AdmissionLevel, Draining              metrics.Gauge
-	Load                                  metrics.GaugeFloat64
+	// Quarantine is by change, Quarantined by state.
+	Quarantine               Counters
+	Quarantined              Gauges
+	AdmissionLevel, Draining metrics.Gauge
+	Load                     metrics.GaugeFloat64
 
 	Keys         Gauges
 	Claims       Counters
@@ -102,6 +105,8 @@
 
 func (m *Metrics) addAdmission() {
 	m.Limit = m.gauges(limitMetric).With()
+	m.Quarantine = m.counters(quarantineMetric)
+	m.Quarantined = m.gauges(heldMetric)
 	m.UpstreamsEnded = m.counters(endedMetric).With()
 	m.InFlight = m.gauges(inFlightMetric).With()
 	m.Blocked = m.gauges(blockedMetric).With()
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -43,6 +43,8 @@
 	admitLevelMetric = define("pollengauge_admission_level", GaugeKind, unitCount, "Admission level in force; requests below it are refused. 0 refuses none.")
 	loadMetric       = define("pollengauge_load_ratio", GaugeKind, unitRatio, "Calls in flight and waiting as a share of the limit.")
 	endedMetric      = define("pollengauge_upstreams_ended_total", CounterKind, unitCount, "Times that the upstream beside this node ended without notice while it was running calls.")
+	quarantineMetric = define("pollengauge_quarantine_total", CounterKind, unitCount, "Requests under which upstreams end, by what changed: suspected after one end, held back, tried again once, cleared.", "change")
+	heldMetric       = define("pollengauge_quarantine_requests", GaugeKind, unitCount, "Requests under which upstreams have ended that this node knows of, by state.", "state")
 	drainingMetric   = define("pollengauge_draining", GaugeKind, unitCount, "1 while the node takes no new work.")
 )
 
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -70,6 +70,8 @@
 	p.QueueWait.Observe(700 * time.Microsecond)
 	p.QueueWait.Observe(time.Hour)
 	m.Keys.With("done").Update(1)
+	m.Quarantine.With("held").Inc(1)
+	m.Quarantined.With("held").Update(1)
 	m.Claims.With("held").Inc(1)
 	m.UnknownFates.With("lost").Inc(1)
 	m.WitnessNotes.With("told").Inc(1)
--- /dev/null
+++ b/quarantine/completions.go
@@ -0,0 +1,19 @@
+package quarantine
+
+import "sync/atomic"
+
+// completionSlots is how many completed requests are remembered. A popular request is
+// noted so often that rare ones do not displace it for long.
+const completionSlots = 1024
+
+// Completions remembers requests that completed at one incarnation of an upstream, the
+// popular ones above all. Noting one costs an atomic store. The zero value is empty.
+type Completions struct {
+	slots [completionSlots]atomic.Uint64
+}
+
+// Note remembers a request that completed.
+func (c *Completions) Note(f Fingerprint) { c.slots[f%completionSlots].Store(uint64(f)) }
+
+// Has reports whether a request is known to have completed.
+func (c *Completions) Has(f Fingerprint) bool { return c.slots[f%completionSlots].Load() == uint64(f) }
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -22,6 +22,8 @@
 	// WhyDeeper: the failure was further down, and the hop next to it had its
 	// chance.
 	WhyDeeper Why = "deeper"
+	// WhyHeld: upstreams end under the request, and the next one is to be spared.
+	WhyHeld Why = "held"
 	// WhyHopeless: no other target would answer differently.
 	WhyHopeless Why = "hopeless"
 	// WhyOverload: the service as a whole refuses, not one target.
@@ -61,6 +63,9 @@
 	Service string
 	// Idempotent is true when running the call twice does no harm.
 	Idempotent bool
+	// Held tells that so many upstreams have ended under the request that no other
+	// one may be given it.
+	Held bool
 	// Free tells that the attempt never got as far as an upstream, and that
 	// another one may be made without paying: no upstream has had any work from
 	// it. FreeMade is how many free ones there were already.
@@ -104,6 +109,8 @@
 		// Without this each hop above would retry the same failure, and the
 		// attempts would multiply on the way up.
 		return Verdict{Why: WhyDeeper}
+	case in.Held:
+		return Verdict{Why: WhyHeld}
 	case hopeless(in.Reason):
 		return Verdict{Why: WhyHopeless}
 	case overload(in.Reason) && in.Refusing >= OverloadThousandths:
@@ -193,7 +200,7 @@
 		call.ReasonVisitClosed, call.ReasonKeyExpired, call.ReasonKeyRequired,
 		call.ReasonKeyHomeGone, call.ReasonKeyUnclaimed, call.ReasonKeyReused,
 		call.ReasonAnswerNotHeld, call.ReasonBadRequest,
-		call.ReasonTooLarge, call.ReasonNoTarget, call.ReasonNoConfig, call.ReasonConfigBehind, call.ReasonNoRoute:
+		call.ReasonTooLarge, call.ReasonNoTarget, call.ReasonHeld, call.ReasonNoConfig, call.ReasonConfigBehind, call.ReasonNoRoute:
 		return true
 	}
 	return false
