--- a/call/context.go
+++ b/call/context.go
@@ -66,6 +66,9 @@
 	HeaderCreditLeft = "Pollengauge-Credit-Left"
 	// HeaderLoad is the answering node's load in thousandths of its limit.
 	HeaderLoad = "Pollengauge-Load"
+	// HeaderEndsStamp orders what is told of HeaderEnds by different hops. It is absent
+	// at 0.
+	HeaderEndsStamp = "Pollengauge-Upstream-Ends-Stamp"
 	// HeaderRetryAfterMs is Retry-After in milliseconds, for clients that can
 	// use a finer figure than the published whole seconds.
 	HeaderRetryAfterMs = "Pollengauge-Retry-After-Ms"
@@ -85,7 +88,7 @@
 var NodeHeaders = []string{
 	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat, HeaderEnds,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
-	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderStale,
+	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderEndsStamp, HeaderStale,
 }
 
 // PropagatedHeaders are what an upstream copies onto its own calls.
@@ -118,6 +121,8 @@
 	maxPressure = 1000
 	// maxEnds is where the count of upstreams that have ended stops.
 	maxEnds = 100
+	// maxEndsStamp is where the stamps of a Report stop.
+	maxEndsStamp = 1_000_000
 	// maxWork is the most work of a Report, in milliseconds.
 	maxWork = 1_000_000
 )
@@ -277,6 +282,9 @@
 	// Ends is how many upstreams in turn have ended while they ran the call, the
 	// answering hop's included. Inject writes at most 100.
 	Ends int
+	// EndsStamp orders what different hops tell of Ends: a later word has a higher
+	// one. It stops at a million.
+	EndsStamp uint64
 }
 
 // Inject writes r to the headers of an answer.
@@ -299,6 +307,7 @@
 	}
 	if r.Ends > 0 {
 		h.Set(HeaderEnds, strconv.Itoa(min(r.Ends, maxEnds)))
+		setOptionalNumber(h, HeaderEndsStamp, int(min(r.EndsStamp, maxEndsStamp)))
 	}
 }
 
@@ -329,6 +338,11 @@
 	if r.Ends, err = optionalNumber(h, HeaderEnds, maxEnds); err != nil {
 		return Report{}, err
 	}
+	stamp, err := optionalNumber(h, HeaderEndsStamp, maxEndsStamp)
+	if err != nil {
+		return Report{}, err
+	}
+	r.EndsStamp = uint64(stamp)
 	if reason := h.Get(HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
--- a/cmd/pollengauge/internal/cli/commands.go
+++ b/cmd/pollengauge/internal/cli/commands.go
@@ -19,6 +19,7 @@
 		newExplainCommand(),
 		newHopsCommand(),
 		newFatesCommand(),
+		newQuarantineCommand(),
 		newDrainCommand(),
 		newKeyCommand(),
 		newDemoCommand(),
--- a/cmd/pollengauge/internal/cli/harness_test.go
+++ b/cmd/pollengauge/internal/cli/harness_test.go
@@ -38,6 +38,9 @@
 	return server, "--platform=http://" + addr
 }
 
+// fatalPath is a path under which the upstreams of startNode end.
+const fatalPath = "/fatal"
+
 // startNode returns a node with an announced upstream.
 func startNode(c *qt.C, platformFlag, service string, peers []string, calls ...upstream.Call) *node.Node {
 	settings := node.DefaultSettings()
@@ -57,6 +60,7 @@
 		Slots:        10,
 		Calls:        calls,
 		Interval:     50 * time.Millisecond,
+		EndsAt:       fatalPath,
 	})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(u.Close)
--- a/cmd/pollengauge/internal/cli/nodes.go
+++ b/cmd/pollengauge/internal/cli/nodes.go
@@ -52,6 +52,18 @@
 	return callNode[node.FatesResponse](ctx, c, http.MethodGet, address, node.PathFates, query, nil)
 }
 
+func (c *nodeClient) quarantine(ctx context.Context, address string, suspects bool) (node.QuarantineResponse, error) {
+	query := url.Values{}
+	if suspects {
+		query.Set("suspects", "1")
+	}
+	return callNode[node.QuarantineResponse](ctx, c, http.MethodGet, address, node.PathQuarantine, query, nil)
+}
+
+func (c *nodeClient) clear(ctx context.Context, address string, request node.ClearRequest) (node.ClearResponse, error) {
+	return callNode[node.ClearResponse](ctx, c, http.MethodPost, address, node.PathClear, nil, request)
+}
+
 func (c *nodeClient) drain(ctx context.Context, address string, request node.DrainRequest) (node.DrainResponse, error) {
 	return callNode[node.DrainResponse](ctx, c, http.MethodPost, address, node.PathDrain, nil, request)
 }
--- /dev/null
+++ b/cmd/pollengauge/internal/cli/quarantine.go
@@ -0,0 +1,154 @@
+package cli
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pollengauge.dev/node"
+	"pollengauge.dev/quarantine"
+)
+
+func newQuarantineCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "quarantine",
+		Short: "List and clear requests under which upstreams end",
+		Long: `List and clear the requests that are held back because upstreams ended in turn
+while they ran them. A fingerprint stands for a request's method, host, path,
+query, caller and body. How to go about it is in docs/OPERATIONS.md.`,
+		Example: `  pollengauge quarantine list
+  pollengauge quarantine clear 9c1e03a77d2b5f10`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(newQuarantineListCommand(), newQuarantineClearCommand())
+	return cmd
+}
+
+func newQuarantineListCommand() *cobra.Command {
+	flags := &nodesFlags{}
+	suspects := false
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List the requests that are held back",
+		Long: `List the requests that are held back, as the nodes know them, each once: those
+with most ends first. REQUEST is told by nodes whose own upstream ended.`,
+		Example: `  pollengauge quarantine list
+  pollengauge quarantine list --suspects --json`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			addresses, err := flags.required()
+			if err != nil {
+				return err
+			}
+			held, err := collectHeld(cmd, flags, addresses, suspects)
+			if told := printHeld(cmd, held, flags.json); told != nil {
+				return told
+			}
+			return err
+		},
+	}
+	flags.bind(cmd)
+	flags.bindJSON(cmd)
+	cmd.Flags().BoolVar(&suspects, "suspects", false, "list the requests as well under which one upstream has ended")
+	return cmd
+}
+
+// collectHeld asks all nodes and keeps what the best informed one says of each request.
+func collectHeld(cmd *cobra.Command, flags *nodesFlags, addresses []string, suspects bool) ([]node.HeldView, error) {
+	client := newNodeClient(flags.timeout)
+	defer client.close()
+	lists, _, err := split(askAll(addresses, func(address string) ([]node.HeldView, error) {
+		answer, err := client.quarantine(cmd.Context(), address, suspects)
+		return answer.Requests, err
+	}))
+	held := slices.Concat(lists...)
+	slices.SortStableFunc(held, func(a, b node.HeldView) int {
+		return cmp.Or(
+			cmp.Compare(b.Ends, a.Ends), cmp.Compare(a.Fingerprint, b.Fingerprint),
+			cmp.Compare(b.Request, a.Request), a.Since.Compare(b.Since),
+		)
+	})
+	seen := make(map[string]bool, len(held))
+	held = slices.DeleteFunc(held, func(h node.HeldView) bool {
+		known := seen[h.Fingerprint]
+		seen[h.Fingerprint] = true
+		return known
+	})
+	return held, err
+}
+
+func printHeld(cmd *cobra.Command, held []node.HeldView, asJSON bool) error {
+	if asJSON {
+		return writeJSON(cmd.OutOrStdout(), append([]node.HeldView{}, held...))
+	}
+	rows := [][]string{{"FINGERPRINT", "ENDS", "SINCE", "TRIAL IN", "REQUEST"}}
+	for _, h := range held {
+		left := time.Duration(h.TrialInMs) * time.Millisecond
+		rows = append(rows, []string{
+			h.Fingerprint, strconv.Itoa(h.Ends), h.Since.UTC().Format(time.RFC3339),
+			left.Round(time.Second).String(), dash(h.Request),
+		})
+	}
+	out := &printer{w: cmd.OutOrStdout()}
+	out.table(rows)
+	return out.result()
+}
+
+func newQuarantineClearCommand() *cobra.Command {
+	flags := &nodesFlags{}
+	cmd := &cobra.Command{
+		Use:     "clear FINGERPRINT",
+		Short:   "Let a request run again that is held back",
+		Long:    `Let a request run again, at all upstreams: what they ended under is mended. The first of the nodes that knows the request tells the others.`,
+		Example: `  pollengauge quarantine clear 9c1e03a77d2b5f10`,
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := quarantine.ParseFingerprint(args[0]); err != nil {
+				return &ArgumentError{Name: "FINGERPRINT", Value: args[0], Want: "1 to 16 hexadecimal digits"}
+			}
+			addresses, err := flags.required()
+			if err != nil {
+				return err
+			}
+			return clearHeld(cmd, flags, addresses, args[0])
+		},
+	}
+	flags.bind(cmd)
+	return cmd
+}
+
+// clearHeld asks the nodes in turn until one knows the request.
+func clearHeld(cmd *cobra.Command, flags *nodesFlags, addresses []string, fingerprint string) error {
+	client := newNodeClient(flags.timeout)
+	defer client.close()
+	var failures []error
+	for _, address := range addresses {
+		answer, err := client.clear(cmd.Context(), address, node.ClearRequest{Fingerprint: fingerprint})
+		switch {
+		case err != nil:
+			failures = append(failures, err)
+		case answer.Cleared:
+			out := &printer{w: cmd.OutOrStdout()}
+			out.printf("cleared at %s\n", address)
+			return out.result()
+		}
+	}
+	if len(failures) > 0 {
+		return &UnreachableError{Failures: failures}
+	}
+	return &UnknownRequestError{Fingerprint: fingerprint}
+}
+
+// UnknownRequestError means that none of the nodes asked holds a request back.
+type UnknownRequestError struct{ Fingerprint string }
+
+// Error implements error.
+func (e *UnknownRequestError) Error() string {
+	return "none of the nodes asked knows request " + e.Fingerprint
+}
+
+func (*UnknownRequestError) exitCode() ExitCode { return ExitNotFound }
--- a/cmd/pollengauge/internal/cli/standin.go
+++ b/cmd/pollengauge/internal/cli/standin.go
@@ -116,6 +116,7 @@
 	flags.IntVar(&settings.Slots, "slots", settings.Slots, "requests worked on at once")
 	flags.StringSliceVar(&calls, "calls", nil, "calls made for each request: service/path or METHOD:service/path, comma separated")
 	flags.DurationVar(&settings.Interval, "interval", settings.Interval, "time between two announcements")
+	flags.StringVar(&settings.EndsAt, "ends-at", "", "path under which it ends while it runs the request, and is back later")
 	return cmd
 }
 
--- a/cmd/pollengauge/internal/upstream/settings.go
+++ b/cmd/pollengauge/internal/upstream/settings.go
@@ -27,6 +27,9 @@
 	Calls []Call
 	// Interval is the time between two announcements.
 	Interval time.Duration
+	// EndsAt is a path under which the stand-in ends while it runs the request, and
+	// is back after endedFor; "" for none.
+	EndsAt string
 }
 
 // Call is one call to another service.
@@ -82,6 +85,7 @@
 	}
 	refuse(s.Work >= 0 && s.Work <= maxWork, "work", s.Work.String(), "0s to "+maxWork.String())
 	refuse(s.Slots >= 1 && s.Slots <= maxSlots, "slots", strconv.Itoa(s.Slots), "1 to 100000")
+	refuse(s.EndsAt == "" || s.EndsAt[0] == '/', "ends-at", strconv.Quote(s.EndsAt), "a path that begins with a slash")
 	refuse(s.Interval >= minInterval && s.Interval <= maxInterval, "interval", s.Interval.String(), minInterval.String()+" to "+maxInterval.String())
 	if len(problems) == 0 {
 		return nil
--- a/cmd/pollengauge/internal/upstream/upstream.go
+++ b/cmd/pollengauge/internal/upstream/upstream.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,16 +27,24 @@
 // Upstream is one running stand-in.
 type Upstream struct {
 	settings Settings
-	listener net.Listener
-	server   *http.Server
+	addr     string
 	client   *http.Client
 	slots    *semaphore.Weighted
 	work     atomic.Int64
 	inFlight atomic.Int64
+
+	mu sync.Mutex
+	// server is the one of this life, ended the last one that a request has ended,
+	// and closed is set once there is no other; mu guards them.
+	server, ended *http.Server
+	closed        bool
 }
 
 const headerTimeout = 10 * time.Second
 
+// endedFor is how long a stand-in that has ended under a request is away.
+const endedFor = 2 * time.Second
+
 // Start checks the settings and serves until Shutdown or Close.
 func Start(settings Settings) (*Upstream, error) {
 	if err := settings.Check(); err != nil {
@@ -46,34 +56,76 @@
 	}
 	u := &Upstream{
 		settings: settings,
-		listener: listener,
+		addr:     listener.Addr().String(),
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: settings.Slots, DisableCompression: true}},
 		slots:    semaphore.NewWeighted(int64(settings.Slots)),
 	}
 	u.work.Store(int64(settings.Work))
+	u.live(listener)
+	return u, nil
+}
+
+// live serves at listener until Shutdown, Close or a request that ends it.
+func (u *Upstream) live(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc(WorkPath, u.serveWork)
 	mux.HandleFunc("/", u.serve)
-	u.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = u.server.Serve(listener) }() // ends with Shutdown or Close
-	return u, nil
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		_ = listener.Close()
+		return
+	}
+	u.server = server
+	go func() { _ = server.Serve(listener) }() // ends with the server
 }
 
 // Addr returns host:port.
-func (u *Upstream) Addr() string { return u.listener.Addr().String() }
+func (u *Upstream) Addr() string { return u.addr }
 
 // Shutdown stops listening and waits for the requests in flight.
 func (u *Upstream) Shutdown(ctx context.Context) error {
 	defer u.client.CloseIdleConnections()
-	return u.server.Shutdown(ctx)
+	return u.last().Shutdown(ctx)
 }
 
 // Close stops at once.
 func (u *Upstream) Close() {
-	_ = u.server.Close()
+	_ = u.last().Close()
 	u.client.CloseIdleConnections()
 }
 
+// last returns the server, and sees to it that there is no other after it.
+func (u *Upstream) last() *http.Server {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	return u.server
+}
+
+// end ends the stand-in as a crash does: all connections break, and nothing listens
+// until it is back.
+func (u *Upstream) end() {
+	u.mu.Lock()
+	server := u.server
+	again := u.ended == server
+	u.ended = server
+	u.mu.Unlock()
+	if again {
+		return
+	}
+	_ = server.Close()
+	time.AfterFunc(endedFor, func() {
+		listener, err := net.Listen("tcp", u.addr)
+		if err != nil {
+			log.Printf("stand-in upstream is not back: %v", err)
+			return
+		}
+		u.live(listener)
+	})
+}
+
 // serveWork shows or changes the work of each request.
 func (u *Upstream) serveWork(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPut {
@@ -104,6 +156,10 @@
 	if !objects.Pause(r.Context(), time.Duration(u.work.Load())) {
 		return
 	}
+	if u.settings.EndsAt != "" && r.URL.Path == u.settings.EndsAt {
+		u.end()
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = fmt.Fprintf(w, "%s answers %s %s\n", u.settings.Service, r.Method, r.URL.Path)
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -25,8 +25,11 @@
 	PathFates    = "/v1/fates"
 	PathKey      = "/v1/key"
 	PathConfig   = "/v1/config"
-	PathMetrics  = "/metrics"
-	PathHealth   = "/healthz"
+	// PathQuarantine lists requests that are held back, PathClear lets one run again.
+	PathQuarantine = "/v1/quarantine"
+	PathClear      = "/v1/quarantine/clear"
+	PathMetrics    = "/metrics"
+	PathHealth     = "/healthz"
 )
 
 const maxAdminBody = 64 << 10
@@ -84,6 +87,8 @@
 	mux.Handle("GET "+PathHops, n.adminServer(n.hopsEndpoint(), decodeHops))
 	mux.Handle("POST "+PathDrain, n.adminServer(n.drainEndpoint(), decodeJSON[DrainRequest]))
 	mux.Handle("GET "+PathFates, n.adminServer(n.fatesEndpoint(), decodeFates))
+	mux.Handle("GET "+PathQuarantine, n.adminServer(n.quarantineEndpoint(), decodeQuarantine))
+	mux.Handle("POST "+PathClear, n.adminServer(n.clearEndpoint(), decodeJSON[ClearRequest]))
 	mux.Handle("POST "+PathKey, n.adminServer(n.keyEndpoint(), decodeEmpty))
 	mux.Handle("GET "+PathConfig, n.adminServer(n.configEndpoint(), decodeEmpty))
 	mux.Handle("GET "+PathMetrics, n.MetricsHandler())
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -90,7 +90,7 @@
 	}
 	d.worst = max(d.worst, a.report.Worst)
 	d.ends = max(d.ends, a.report.Ends)
-	n.heardEnds(d.req, a.report.Ends)
+	n.heardEnds(d.req, &a.report)
 	d.tried = append(d.tried, target.ID)
 	d.mayHaveRun = d.mayHaveRun || a.report.Outcome != call.NotRun
 	d.reached = d.reached || a.report.Outcome != call.NotRun || !retry.BeforeUpstream(a.report.Reason)
--- a/node/local.go
+++ b/node/local.go
@@ -11,6 +11,7 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/quarantine"
 	"pollengauge.dev/retry"
 )
 
@@ -29,7 +30,7 @@
 	ticket, err := n.gate.Acquire(ctx, n.admissionRequest(req))
 	if err != nil {
 		if trial {
-			n.abandonRun(req)
+			n.abandonRun(req, false)
 		}
 		return n.gateRefusal(req, err, arrived)
 	}
@@ -72,9 +73,11 @@
 	arrived  time.Time
 	started  time.Time
 	finished bool
-	// ends is how many upstreams have ended under the request, the one here included,
-	// if it has.
-	ends int
+	// unsent is set if nothing of the run reached the upstream.
+	unsent bool
+	// ends is what is known of the upstreams that ended under the request, the one
+	// here included, if it has.
+	ends quarantine.Verdict
 }
 
 // run sends the call to the upstream and judges what comes of it.
@@ -92,6 +95,7 @@
 func (l *localCall) failed(unsent bool, err error) *answer {
 	nothingRan := l.node.visits.closeProved(l.visit)
 	outcome, reason := call.Unknown, lossReason(l.visit.ctx, err)
+	l.unsent = unsent
 	if !unsent {
 		reason = l.brokenReason(reason)
 	}
@@ -117,7 +121,7 @@
 	a := l.node.refuse(outcome, reason, 0)
 	a.reported = true
 	l.node.fillReport(&a.report, l.visit)
-	a.report.Ends = l.ends
+	a.report.Ends, a.report.EndsStamp = l.ends.Ends, l.ends.Stamp
 	return a
 }
 
--- a/node/local_finish.go
+++ b/node/local_finish.go
@@ -17,10 +17,11 @@
 	l.noteWork(outcome, reason, status)
 	l.visit.close()
 	l.node.visits.remove(l.visit)
-	if outcome == call.Complete {
+	if outcome == call.Complete && status < http.StatusInternalServerError {
 		l.node.completeRun(l.request, l.visit.life)
 	} else {
-		l.node.abandonRun(l.request)
+		l.noteUnanswered(reason)
+		l.node.abandonRun(l.request, !l.unsent)
 	}
 	if outcome == call.Complete && status < http.StatusBadRequest {
 		l.node.graph.Completed(l.request.call.Profile, l.visit.completedCalls(), l.node.now())
--- a/node/mortal_test.go
+++ b/node/mortal_test.go
@@ -30,8 +30,14 @@
 type mortals struct {
 	*fleet
 	nodes []*Node
-	// healed upstreams survive the marked requests.
-	healed atomic.Bool
+	// healed upstreams survive the marked requests, and unnamed ones do not tell one
+	// incarnation from the next.
+	healed, unnamed atomic.Bool
+	// away is how long one that has ended is away, and lasting how long after the run
+	// of a marked request has ended it ends itself.
+	away, lasting time.Duration
+	// failEvery has one marked request of so many answered with an error, 0 for none.
+	failEvery int
 
 	mu sync.Mutex
 	// ends are the times at which upstreams ended, and arrivals those at which a
@@ -44,12 +50,22 @@
 
 // addMortals starts as many nodes of the service desk, each with its upstream.
 func (f *fleet) addMortals(count int, adjust ...func(*Settings)) *mortals {
-	m := &mortals{fleet: f, arrivals: make(map[string][]time.Time), kill: make(map[*Node]func())}
+	m := f.mortals()
+	m.start(count, adjust...)
+	return m
+}
+
+// mortals makes the service without upstreams.
+func (f *fleet) mortals() *mortals {
+	return &mortals{fleet: f, arrivals: make(map[string][]time.Time), kill: make(map[*Node]func()), away: restartTime}
+}
+
+// start starts as many nodes, each with its upstream.
+func (m *mortals) start(count int, adjust ...func(*Settings)) {
 	for i := range count {
 		m.nodes = append(m.nodes, m.addMortal("desk-"+strconv.Itoa(i), adjust...))
 	}
-	f.settle()
-	return m
+	m.settle()
 }
 
 func (m *mortals) addMortal(name string, adjust ...func(*Settings)) *Node {
@@ -99,7 +115,7 @@
 			u.ends = append(u.ends, time.Now())
 			u.mu.Unlock()
 			go func() {
-				if objects.Pause(u.t.Context(), restartTime) {
+				if objects.Pause(u.t.Context(), u.away) {
 					u.live(life + 1)
 				}
 			}()
@@ -110,10 +126,19 @@
 	u.mu.Unlock()
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.arrived(r.URL.Path)
+		fatal := strings.Contains(r.URL.Path, fatalPart) && !u.healed.Load()
+		if fatal && u.lasting > 0 {
+			time.AfterFunc(u.lasting, end)
+		}
 		if !objects.Pause(r.Context(), runTime) {
 			return
 		}
-		if strings.Contains(r.URL.Path, fatalPart) && !u.healed.Load() {
+		if fatal && u.failEvery > 0 && u.reached(r.URL.Path)%u.failEvery == 0 {
+			w.Header().Set("X-Echo", r.Header.Get("X-Id"))
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		if fatal {
 			end()
 			panic(http.ErrAbortHandler)
 		}
@@ -121,9 +146,11 @@
 	})
 	go func() { _ = server.Serve(listener) }()
 	u.t.Cleanup(func() { _ = server.Close() })
-	u.c.Assert(u.node.Announce(Announcement{
-		Service: "desk", Addr: addr, Slots: 50, Instance: "life-" + strconv.Itoa(life) + "-" + u.name, Sequence: 1,
-	}), qt.IsNil)
+	a := Announcement{Service: "desk", Addr: addr, Slots: 50}
+	if !u.unnamed.Load() {
+		a.Instance, a.Sequence = "life-"+strconv.Itoa(life)+"-"+u.name, 1
+	}
+	u.c.Assert(u.node.Announce(a), qt.IsNil)
 }
 
 func (m *mortals) arrived(path string) {
--- a/node/node.go
+++ b/node/node.go
@@ -61,7 +61,7 @@
 	adjusted atomic.Pointer[Adjustment]
 	repeats  *retry.Repeats
 	// quarantine has the requests under which upstreams end.
-	quarantine *quarantines
+	quarantine *quarantineState
 	lag        lagMeter
 	offered    offered
 	// unsettled are fates that no table holds any more.
@@ -186,7 +186,7 @@
 	}
 	n.followRatio()
 	n.repeats = retry.NewRepeats(retry.RepeatsConfig{Seed: n.random(), Start: n.started})
-	n.quarantine = newQuarantines(s.Service)
+	n.quarantine = newQuarantineState()
 	n.router = routing.NewRouter(routing.Config{
 		Node:      n.id,
 		Zone:      s.Zone,
--- a/node/plaindialect_test.go
+++ b/node/plaindialect_test.go
@@ -101,7 +101,7 @@
 }
 
 // askRouted sends one request as a caller on the node's VM.
-func (f *fleet) askRouted(to *Node, path, id string) reply {
+func (f *fleet) askRouted(to *Node, path, id string, header ...string) reply {
 	host := f.net.Host("caller")
 	transport := &http.Transport{
 		DisableKeepAlives: true,
@@ -113,6 +113,9 @@
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://desk.example"+path, nil)
 	f.c.Assert(err, qt.IsNil)
 	req.Header.Set("X-Id", id)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return reply{err: err}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"pollengauge.dev/call"
@@ -13,79 +11,25 @@
 	"pollengauge.dev/routing"
 )
 
-// quarantines are what this node knows of requests under which upstreams end.
-type quarantines struct {
-	// own has the requests to the service of the upstream here.
-	own *quarantine.Ledger
-	// bulletin is what this node tells the members of its service's requests.
+// quarantineState is what this node knows of requests under which upstreams end.
+type quarantineState struct {
+	ledger *quarantine.Ledger
+	// bulletin is what this node tells the members.
 	bulletin quarantine.Bulletin
 	kept     keptRecords
-
-	// others counts the ledgers of other services, so that calls need not look for
-	// one where there is none.
-	others atomic.Int64
-	mu     sync.RWMutex
-	byName map[string]*quarantine.Ledger
-}
-
-// maxLedgers bounds the services whose requests are known: the names come from other
-// members.
-const maxLedgers = 256
-
-func newQuarantines(service string) *quarantines {
-	own := quarantine.NewLedger()
-	return &quarantines{
-		own:    own,
-		kept:   newKeptRecords(),
-		byName: map[string]*quarantine.Ledger{service: own},
-	}
-}
-
-// of returns the ledger of a service, nil if nothing is known of its requests.
-func (q *quarantines) of(service string) *quarantine.Ledger {
-	if q.others.Load() == 0 && q.own.Empty() {
-		return nil
-	}
-	q.mu.RLock()
-	defer q.mu.RUnlock()
-	ledger := q.byName[service]
-	if ledger == nil || ledger.Empty() {
-		return nil
-	}
-	return ledger
-}
-
-// forMember returns the ledger of a service, a new one if there is none. It returns nil
-// if there are too many.
-func (q *quarantines) forMember(service string) *quarantine.Ledger {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	ledger := q.byName[service]
-	if ledger == nil && len(q.byName) < maxLedgers {
-		ledger = quarantine.NewLedger()
-		q.byName[service] = ledger
-		q.others.Add(1)
-	}
-	return ledger
 }
 
-// all calls visit for each ledger.
-func (q *quarantines) all(visit func(service string, ledger *quarantine.Ledger)) {
-	q.mu.RLock()
-	defer q.mu.RUnlock()
-	for service, ledger := range q.byName {
-		visit(service, ledger)
-	}
+func newQuarantineState() *quarantineState {
+	return &quarantineState{ledger: quarantine.NewLedger(), kept: newKeptRecords()}
 }
 
 // heldBack tells where a request is sent from whether it may be sent: it returns a
 // refusal if not, and tells if it may only be sent for a trial.
 func (n *Node) heldBack(req *request) (refused *answer, trial bool) {
-	ledger := n.quarantine.of(req.service)
-	if ledger == nil || n.settings.Ablate.NoQuarantine {
+	if n.quarantine.ledger.Empty() || n.settings.Ablate.NoQuarantine {
 		return nil, false
 	}
-	verdict := ledger.Decide(contentFingerprint(req), n.now())
+	verdict := n.quarantine.ledger.Decide(contentFingerprint(req), n.now())
 	req.call.Ends = max(req.call.Ends, verdict.Ends)
 	switch verdict.Action {
 	case quarantine.Hold:
@@ -102,7 +46,7 @@
 	n.metrics.Profile(req.call.Profile).Refused(call.ReasonHeld)
 	a := n.refuse(call.NotRun, call.ReasonHeld, min(verdict.After, maxRetryAfter))
 	a.report.Hop = req.service
-	a.report.Ends = verdict.Ends
+	a.report.Ends, a.report.EndsStamp = verdict.Ends, verdict.Stamp
 	a.report.CreditLeft = req.call.Credit
 	return a
 }
@@ -148,11 +92,11 @@
 // enterRun tells beside the upstream whether a request may run there: a sender may not
 // have heard yet that it is held.
 func (n *Node) enterRun(req *request) (refused *answer, trial bool) {
-	if n.quarantine.own.Empty() || n.settings.Ablate.NoQuarantine {
+	if n.quarantine.ledger.Empty() || n.settings.Ablate.NoQuarantine {
 		return nil, false
 	}
 	f := contentFingerprint(req)
-	verdict := n.quarantine.own.Begin(f, n.now())
+	verdict := n.quarantine.ledger.Begin(f, n.now())
 	switch verdict.Action {
 	case quarantine.Hold:
 		return n.refuseHeld(req, verdict), false
@@ -175,17 +119,18 @@
 
 // abandonRun ends a run that says nothing of its request. Blame has counted an end of
 // the upstream already.
-func (n *Node) abandonRun(req *request) {
-	if !n.quarantine.own.Empty() {
-		n.quarantine.own.Abandon(contentFingerprint(req))
+func (n *Node) abandonRun(req *request, sent bool) {
+	if !n.quarantine.ledger.Empty() {
+		n.quarantine.ledger.Abandon(contentFingerprint(req), sent, n.now())
 	}
 }
 
-// completeRun takes in that a request has completed at an upstream.
+// completeRun takes in that an upstream has run a request to a good end. An error is
+// none: the upstream may not have come to what it ends under.
 func (n *Node) completeRun(req *request, life *upstreamLife) {
 	f := contentFingerprint(req)
 	life.completed.Note(f)
-	if record, news := n.quarantine.own.Completed(f, n.now()); news {
+	if record, news := n.quarantine.ledger.Completed(f, n.now()); news {
 		n.noteCleared(record, "completed")
 		n.postRecord(record)
 	}
@@ -193,20 +138,10 @@
 
 // blameRuns counts the end of the upstream here against the requests that it was
 // running, and tells the members.
-func (n *Node) blameRuns(visits []*visit) {
-	runs := make([]quarantine.Running, 0, len(visits))
-	for _, v := range visits {
-		f := contentFingerprint(v.request)
-		runs = append(runs, quarantine.Running{
-			Fingerprint: f,
-			Known:       v.call.Ends,
-			Completed:   v.life.completed.Has(f),
-			Label:       labelOf(v.request),
-		})
-	}
-	blame := n.quarantine.own.Blame(runs, n.now())
+func (n *Node) blameRuns(runs []quarantine.Running) {
+	blame := n.quarantine.ledger.Blame(runs, n.now())
 	for _, held := range blame.Held {
-		n.noteHeld(n.settings.Service, held.Record, held.Label)
+		n.noteHeld(held.Record, held.Label)
 		n.quarantine.bulletin.Post(held.Record, n.now())
 		n.keepRecord(held.Record, held.Label)
 	}
@@ -224,30 +159,30 @@
 
 // labelOf describes a request for operators. The query may hold what is not for logs.
 func labelOf(req *request) string {
-	label := req.method + " " + req.call.Host + req.url.EscapedPath()
+	label := req.service + ": " + req.method + " " + req.call.Host + req.url.EscapedPath()
 	return label[:min(len(label), maxLabel)]
 }
 
-// endsOf returns how many upstreams are known to have ended under a request.
-func (n *Node) endsOf(req *request) int {
-	return n.quarantine.own.Decide(contentFingerprint(req), n.now()).Ends
+// endsOf returns what is known here of the upstreams that ended under a request.
+func (n *Node) endsOf(req *request) quarantine.Verdict {
+	return n.quarantine.ledger.Decide(contentFingerprint(req), n.now())
 }
 
-// heardEnds keeps what an answer told of the upstreams that ended under its request:
-// the members' records take longer.
-func (n *Node) heardEnds(req *request, ends int) {
-	if ends < quarantine.HoldFrom {
+// heardEnds takes in what an answer told of the upstreams that ended under its request:
+// the news of the members takes longer.
+func (n *Node) heardEnds(req *request, told *call.Report) {
+	if told.Ends < quarantine.HoldFrom {
 		return
 	}
-	if ledger := n.quarantine.forMember(req.service); ledger != nil {
-		ledger.Hear(contentFingerprint(req), ends, n.now())
+	record := quarantine.Record{Fingerprint: contentFingerprint(req), Ends: told.Ends, Stamp: told.EndsStamp}
+	if n.mergeRecord(record) {
+		n.tellHeld()
 	}
 }
 
-func (n *Node) noteHeld(service string, record quarantine.Record, label string) {
+func (n *Node) noteHeld(record quarantine.Record, label string) {
 	n.metrics.Quarantine.With(requestHeld).Inc(1)
 	n.log.Emit(observe.RequestHeld,
-		observe.Str("of", service),
 		observe.Str("fingerprint", record.Fingerprint.String()),
 		observe.Int("ends", record.Ends),
 		observe.Dur("hold", quarantine.HoldTime(record.Ends)),
@@ -266,31 +201,21 @@
 	n.tellHeld()
 }
 
-// ClearHeld lets a request to this node's service run again. It returns a
-// *NotHeldError if the request is not known here.
-func (n *Node) ClearHeld(f quarantine.Fingerprint) error {
-	record, known := n.quarantine.own.Clear(f, n.now())
-	if !known {
-		return &NotHeldError{Fingerprint: f.String(), Service: n.settings.Service}
+// ClearHeld lets a request run again, at all members. It reports false if the request
+// is not known here.
+func (n *Node) ClearHeld(f quarantine.Fingerprint) bool {
+	record, known := n.quarantine.ledger.Clear(f, n.now())
+	if known {
+		n.noteCleared(record, "operator")
+		n.postRecord(record)
 	}
-	n.noteCleared(record, "operator")
-	n.postRecord(record)
-	return nil
-}
-
-// NotHeldError tells that nothing is known of a request at a node beside the upstreams
-// of a service.
-type NotHeldError struct{ Fingerprint, Service string }
-
-// Error implements error.
-func (e *NotHeldError) Error() string {
-	return "request " + e.Fingerprint + " is not held for " + e.Service + "; ask a node beside an upstream of the service that holds it"
+	return known
 }
 
 // sweepHeld forgets what is out of date.
 func (n *Node) sweepHeld() {
 	now := n.now()
-	n.quarantine.all(func(_ string, ledger *quarantine.Ledger) { ledger.Sweep(now) })
+	n.quarantine.ledger.Sweep(now)
 	if n.quarantine.bulletin.Sweep(now) {
 		n.tellHeld()
 	}
@@ -298,19 +223,13 @@
 
 // updateHeldGauges tells operators how many requests are known.
 func (n *Node) updateHeldGauges() {
-	var sum quarantine.Counts
-	n.quarantine.all(func(_ string, ledger *quarantine.Ledger) {
-		counts := ledger.Counts()
-		sum.Held += counts.Held
-		sum.Suspects += counts.Suspects
-	})
-	n.metrics.Quarantined.With("suspect").Update(int64(sum.Suspects))
-	n.metrics.Quarantined.With("held").Update(int64(sum.Held))
+	counts := n.quarantine.ledger.Counts()
+	n.metrics.Quarantined.With("suspect").Update(int64(counts.Suspects))
+	n.metrics.Quarantined.With("held").Update(int64(counts.Held))
 }
 
 // HeldView is a request under which upstreams have ended, as an operator sees it.
 type HeldView struct {
-	Service     string `json:"service"`
 	Fingerprint string `json:"fingerprint"`
 	// Ends is how many upstreams in turn have ended under the request.
 	Ends int `json:"ends"`
@@ -318,7 +237,8 @@
 	Since time.Time `json:"since"`
 	// TrialInMs is how long the request is held until it is tried, in milliseconds.
 	TrialInMs int64 `json:"trialInMs"`
-	// Request is its method, host and path, where its upstream ended beside this node.
+	// Request is the service and the request's method, host and path, where an
+	// upstream ended beside this node.
 	Request string `json:"request,omitempty"`
 }
 
@@ -330,18 +250,14 @@
 		least = 1
 	}
 	views := []HeldView{}
-	now := n.now()
-	n.quarantine.all(func(service string, ledger *quarantine.Ledger) {
-		for _, held := range ledger.List(least, now) {
-			views = append(views, HeldView{
-				Service:     service,
-				Fingerprint: held.Fingerprint.String(),
-				Ends:        held.Ends,
-				Since:       held.Since,
-				TrialInMs:   held.Left.Milliseconds(),
-				Request:     held.Label,
-			})
-		}
-	})
+	for _, held := range n.quarantine.ledger.List(least, n.now()) {
+		views = append(views, HeldView{
+			Fingerprint: held.Fingerprint.String(),
+			Ends:        held.Ends,
+			Since:       held.Since,
+			TrialInMs:   held.Left.Milliseconds(),
+			Request:     held.Label,
+		})
+	}
 	return views
 }
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"pollengauge.dev/config"
 	"pollengauge.dev/quarantine"
 )
 
@@ -110,6 +112,49 @@
 	})
 }
 
+// Guards against a request that goes on ending upstreams whose ends can't be told from
+// lost answers: they are back at once, or do not name themselves.
+func TestUpstreamsThatAreBackAtOnceCount(t *testing.T) {
+	for _, kind := range []struct {
+		name    string
+		away    time.Duration
+		unnamed bool
+	}{
+		{"back at once", time.Nanosecond, false},
+		{"unnamed", restartTime, true},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			inFleet(t, func(f *fleet) {
+				m := f.mortals()
+				m.away = kind.away
+				m.unnamed.Store(kind.unnamed)
+				m.start(3)
+				culprit := m.call(700*time.Millisecond, always(fatalWrite))
+				time.Sleep(time.Minute)
+				culprit.stop()
+				f.c.Check(m.ended() == 2 || m.ended() == 3, qt.IsTrue, qt.Commentf("%d upstreams ended", m.ended()))
+			})
+		})
+	}
+}
+
+// Guards against blaming only who is still there: an upstream goes on with a request
+// whose caller has given up, and ends under it.
+func TestRequestThatWasGivenUpIsBlamed(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.mortals()
+		m.lasting = runTime / 2
+		m.start(3)
+		innocent := m.call(5*time.Millisecond, each)
+		for i := range 60 {
+			f.askRouted(m.nodes[i%3], fatalWrite, strconv.Itoa(i), "X-Timeout", "20")
+			time.Sleep(time.Second)
+		}
+		innocent.stop()
+		f.c.Check(m.ended() == 2 || m.ended() == 3, qt.IsTrue, qt.Commentf("%d upstreams ended", m.ended()))
+	})
+}
+
 // untilHeld has the fatal read come until three upstreams have ended under it.
 func (m *mortals) untilHeld() {
 	for range 100 {
@@ -189,8 +234,8 @@
 		f.c.Check(held[0].Ends, qt.Equals, 3)
 		fingerprint, err := quarantine.ParseFingerprint(held[0].Fingerprint)
 		f.c.Assert(err, qt.IsNil)
-		f.c.Check(m.nodes[2].ClearHeld(fingerprint), qt.IsNil)
-		f.c.Check(m.nodes[2].ClearHeld(fingerprint+1), qt.ErrorAs, new(*NotHeldError))
+		f.c.Check(m.nodes[2].ClearHeld(fingerprint), qt.IsTrue)
+		f.c.Check(m.nodes[2].ClearHeld(fingerprint+1), qt.IsFalse)
 		time.Sleep(time.Second)
 		for i, n := range m.nodes {
 			f.c.Check(f.askRouted(n, fatalPath, strconv.Itoa(i)).status, qt.Equals, 200)
@@ -223,3 +268,57 @@
 		f.c.Check(m.ended(), qt.Equals, before)
 	})
 }
+
+// Guards against clearing a request for an error: its upstream may fail before it comes
+// to what it ends under.
+func TestErrorDoesNotClearARequest(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.mortals()
+		m.failEvery = 2
+		m.start(3)
+		culprit := m.call(700*time.Millisecond, always(fatalPath))
+		time.Sleep(2 * time.Minute)
+		culprit.stop()
+		f.c.Check(m.ended() <= 3, qt.IsTrue, qt.Commentf("%d upstreams ended", m.ended()))
+		f.c.Check(m.reachedAfter(fatalPath, 3, 3*time.Second) <= 3, qt.IsTrue)
+	})
+}
+
+// Guards against finding the cause anew, at the price of the other service's upstreams,
+// as operators move its route.
+func TestHeldRequestIsHeldAtOtherServices(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(3)
+		m.untilHeld()
+		other := f.addRouted("other", "portal", 10, echo)
+		moved, err := config.Parse([]byte(strings.NewReplacer("version: 1", "version: 2", "service: desk", "service: portal").Replace(routedSet)), config.YAML)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(other.OfferConfig(moved), qt.IsNil)
+		f.settle()
+		f.c.Check(f.askRouted(m.nodes[0], "/browse/1", "a").status, qt.Equals, 200)
+		f.c.Check(f.runs.of("portal", ""), qt.Equals, 1)
+		f.c.Check(f.askRouted(m.nodes[0], fatalPath, "b").reason, qt.Equals, "held")
+		f.c.Check(f.runs.of("portal", ""), qt.Equals, 1)
+	})
+}
+
+// Guards against forgetting a request that is held for seconds, as all nodes restart in
+// turn: each learns it from those that are there.
+func TestHeldRequestOutlivesARollingRestart(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		m := f.addMortals(3)
+		for range 2 {
+			f.askRouted(m.nodes[0], fatalPath, "a")
+			time.Sleep(restartTime)
+		}
+		f.c.Check(m.ended(), qt.Equals, 2)
+		for i, n := range m.nodes {
+			time.Sleep(time.Second)
+			m.nodes[i] = m.addMortal("new-" + strconv.Itoa(i))
+			time.Sleep(time.Second)
+			n.Close()
+		}
+		f.c.Check(f.askRouted(m.nodes[2], fatalPath, "b").reason, qt.Equals, "held")
+		f.c.Check(m.ended(), qt.Equals, 2)
+	})
+}
--- a/node/quarantinenews.go
+++ b/node/quarantinenews.go
@@ -14,7 +14,7 @@
 	"pollengauge.dev/quarantine"
 )
 
-// tellHeld tells all members what this node says of requests to its service.
+// tellHeld tells all members what this node says of requests.
 func (n *Node) tellHeld() {
 	records := n.quarantine.bulletin.Records()
 	told := make([]membership.HeldRequest, 0, len(records))
@@ -28,23 +28,44 @@
 
 // mergeHeld takes in what the members say. It runs on every change of the membership.
 func (n *Node) mergeHeld(members []membership.Member) {
-	withdrawn := false
+	changed := false
+	told := make(map[quarantine.Fingerprint]bool)
 	for i := range members {
-		m := &members[i]
-		if m.ID == n.id || len(m.Held) == 0 {
-			continue
+		for _, held := range members[i].Held {
+			record := recordOf(held)
+			told[record.Fingerprint] = true
+			if members[i].ID != n.id {
+				changed = n.mergeRecord(record) || changed
+			}
 		}
-		ledger := n.quarantine.forMember(m.Service)
-		if ledger == nil {
+	}
+	if n.adoptUntold(members, told) || changed {
+		n.tellHeld()
+	}
+}
+
+// adoptUntold has this node tell of requests that are held and that no member tells of
+// any more, if it is the one to do so.
+//
+// The failure: the node that has found a request is restarted. The others still hold
+// it, but nodes that start later never hear of it.
+func (n *Node) adoptUntold(members []membership.Member, told map[quarantine.Fingerprint]bool) (adopted bool) {
+	var ids []string
+	for _, record := range n.quarantine.ledger.Told(n.now()) {
+		if told[record.Fingerprint] {
 			continue
 		}
-		for _, held := range m.Held {
-			withdrawn = n.mergeRecord(m.Service, ledger, recordOf(held)) || withdrawn
+		if ids == nil {
+			for i := range members {
+				ids = append(ids, members[i].ID)
+			}
+		}
+		if quarantine.Custodian(ids, record.Fingerprint) == n.id {
+			n.quarantine.bulletin.Post(record, n.now())
+			adopted = true
 		}
 	}
-	if withdrawn {
-		n.tellHeld()
-	}
+	return adopted
 }
 
 func recordOf(held membership.HeldRequest) quarantine.Record {
@@ -52,20 +73,19 @@
 }
 
 // mergeRecord takes in one record, and reports whether it changes what this node tells.
-func (n *Node) mergeRecord(service string, ledger *quarantine.Ledger, told quarantine.Record) (changed bool) {
-	news, answer, contradicts := ledger.Merge(told, n.now())
+func (n *Node) mergeRecord(told quarantine.Record) (changed bool) {
+	news, answer, contradicts := n.quarantine.ledger.Merge(told, n.now())
 	if !news {
 		return false
 	}
-	own := service == n.settings.Service
-	changed = own && n.quarantine.bulletin.Withdraw(told.Fingerprint)
+	changed = n.quarantine.bulletin.Withdraw(told.Fingerprint)
 	switch {
-	case contradicts && own:
+	case contradicts:
 		n.noteCleared(answer, "completed")
 		n.quarantine.bulletin.Post(answer, n.now())
 		return true
 	case told.Ends > 0:
-		n.noteHeld(service, told, "")
+		n.noteHeld(told, "")
 	default:
 		n.noteCleared(told, "member")
 	}
@@ -194,6 +214,6 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	n.quarantine.own.Suspect(unpackSuspects(m.Suspects), n.now())
+	n.quarantine.ledger.Suspect(unpackSuspects(m.Suspects), n.now())
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/node/quarantinestore.go
+++ b/node/quarantinestore.go
@@ -6,7 +6,6 @@
 	"errors"
 	"time"
 
-	"pollengauge.dev/call"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 	"pollengauge.dev/quarantine"
@@ -36,14 +35,13 @@
 
 // keptRecord is one record as it is stored.
 type keptRecord struct {
-	Service     string `json:"service"`
 	Fingerprint string `json:"fingerprint"`
 	Ends        int    `json:"ends"`
 	Stamp       uint64 `json:"stamp"`
 	Request     string `json:"request,omitempty"`
 }
 
-func (r *keptRecord) name() string { return r.Service + "." + r.Fingerprint }
+func (r *keptRecord) name() string { return r.Fingerprint }
 
 // keepRecord has a record stored, so that the members know it when all of them have
 // been started anew. One that clears a request removes what is stored.
@@ -52,7 +50,6 @@
 		return
 	}
 	kept := keptRecord{
-		Service:     n.settings.Service,
 		Fingerprint: record.Fingerprint.String(),
 		Ends:        record.Ends,
 		Stamp:       record.Stamp,
@@ -109,15 +106,13 @@
 	if err == nil {
 		f, err = quarantine.ParseFingerprint(kept.Fingerprint)
 	}
-	if err != nil || !call.ValidToken(kept.Service, maxName) {
+	if err != nil {
 		n.log.Emit(observe.RequestUnkept, observe.Str("object", object.Name), observe.Str("cause", "the object can't be read"))
 		return
 	}
-	ledger := n.quarantine.forMember(kept.Service)
-	if ledger == nil {
-		return
+	if n.mergeRecord(quarantine.Record{Fingerprint: f, Ends: kept.Ends, Stamp: kept.Stamp}) {
+		n.tellHeld()
 	}
-	n.mergeRecord(kept.Service, ledger, quarantine.Record{Fingerprint: f, Ends: kept.Ends, Stamp: kept.Stamp})
 }
 
 // storeKept stores one record, or removes it if the request is cleared.
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -145,6 +145,9 @@
 	if old != nil && old.transport != next.transport {
 		old.transport.CloseIdleConnections()
 	}
+	if old != nil && old.otherLife(a) {
+		n.upstreamReplaced(old)
+	}
 	n.gate.SetSlots(a.Slots)
 	n.gate.Hint(a.Load)
 	if old != nil && !old.sameIncarnation(a) {
--- a/node/visit.go
+++ b/node/visit.go
@@ -28,8 +28,10 @@
 	started  time.Time
 	credit   *retry.Credit
 	// life is the incarnation of the upstream that runs it.
-	life     *upstreamLife
-	request  *request
+	life    *upstreamLife
+	request *request
+	// broken is set once the connection to the upstream is found broken.
+	broken   atomic.Bool
 	ticket   admission.Ticket
 	children *atmostonce.Visit
 	orphans  uint64
@@ -238,20 +240,24 @@
 	return v, ok
 }
 
-// under returns the open visits at one incarnation of the upstream.
-func (vs *visits) under(life *upstreamLife) []*visit {
-	var open []*visit
+// under returns the open visits at one incarnation of the upstream whose connections
+// broke, and how many of those that began before a time have whole ones.
+func (vs *visits) under(life *upstreamLife, before time.Time) (broken []*visit, whole int) {
 	for i := range vs.shards {
 		s := &vs.shards[i]
 		s.mu.Lock()
 		for _, v := range s.byID {
-			if v.life == life {
-				open = append(open, v)
+			switch {
+			case v.life != life:
+			case v.broken.Load():
+				broken = append(broken, v)
+			case v.started.Before(before):
+				whole++
 			}
 		}
 		s.mu.Unlock()
 	}
-	return open
+	return broken, whole
 }
 
 func (vs *visits) remove(v *visit) {
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -100,7 +100,7 @@
 	}
 	e.ends = min(max(prior, e.worst)+1, MaxEnds)
 	e.stamp++
-	e.since = now
+	e.since, e.tries = now, 0
 	e.completed = time.Time{}
 	e.label = run.Label
 	blame.Held = append(blame.Held, Blamed{Record: e.record(run.Fingerprint), Label: run.Label})
--- a/quarantine/bulletin.go
+++ b/quarantine/bulletin.go
@@ -11,10 +11,6 @@
 // of them.
 const MaxTold = 16
 
-// tellCleared is how long a member tells that a request is cleared. All that can be
-// reached have heard it by then.
-const tellCleared = time.Minute
-
 // Bulletin is what one member tells the others: the latest Records that it gave itself.
 // The zero value is empty.
 type Bulletin struct {
@@ -63,20 +59,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before := len(b.posts)
-	b.posts = slices.DeleteFunc(b.posts, func(p post) bool { return now.Sub(p.at) >= p.keep() })
+	b.posts = slices.DeleteFunc(b.posts, func(p post) bool { return now.Sub(p.at) >= tellTime(p.Ends) })
 	return len(b.posts) < before
 }
 
-func (p post) keep() time.Duration {
-	switch {
-	case p.Ends == 0:
-		return tellCleared
-	case p.Ends < provenFrom:
-		return keepSuspect
-	}
-	return keepProven
-}
-
 // Records returns what is told, in the order in which it was posted.
 func (b *Bulletin) Records() []Record {
 	b.mu.Lock()
--- a/quarantine/completions.go
+++ b/quarantine/completions.go
@@ -15,5 +15,12 @@
 // Note remembers a request that completed.
 func (c *Completions) Note(f Fingerprint) { c.slots[f%completionSlots].Store(uint64(f)) }
 
+// Reset forgets all.
+func (c *Completions) Reset() {
+	for i := range c.slots {
+		c.slots[i].Store(0)
+	}
+}
+
 // Has reports whether a request is known to have completed.
 func (c *Completions) Has(f Fingerprint) bool { return c.slots[f%completionSlots].Load() == uint64(f) }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,9 +1,9 @@
 // Package quarantine holds back requests under which upstreams end, so that one
-// request can't take a service down.
+// request can't take their service down.
 //
 // An upstream that ends takes every request with it that it was running, and at most
-// a few of them are the cause. Ledger keeps, for one service, how many upstreams in
-// turn have ended under each request, by the fingerprint of its content. Blame counts
+// a few of them are the cause. Ledger keeps how many upstreams in turn have ended under
+// each request, by the fingerprint of its content. Blame counts
 // an end against those requests that were there at the most ends before; the rest are
 // suspects at most. A request that completes anywhere has shown that it is harmless,
 // and its count is cleared.
@@ -19,7 +19,7 @@
 //	verdict := ledger.Begin(fingerprint, now)       // beside the upstream that is to run it
 //	blame := ledger.Blame(runs, now)                // when the upstream has ended
 //	record, news := ledger.Completed(fingerprint, now)
-//	ledger.Abandon(fingerprint)                     // a trial that showed nothing
+//	ledger.Abandon(fingerprint, sent, now)          // a trial that showed nothing
 //
 // Blame and Completed return Records, which members tell each other; Merge takes them
 // in. Records of one request are ordered by their Stamp, so members agree whatever the
--- a/quarantine/hold.go
+++ b/quarantine/hold.go
@@ -11,9 +11,9 @@
 // alone among those that are held when the last of them ended.
 const provenFrom = 3
 
-// Forever is the hold of a request that has ended an upstream at each of its trials.
+// forever is the hold of a request that has ended an upstream at each of its trials.
 // Only an operator clears it, or its entry is forgotten.
-const Forever = keepProven
+const forever = keepProven
 
 // holds is how long a request is held back, by its ends from HoldFrom on.
 var holds = [...]time.Duration{
@@ -35,7 +35,7 @@
 	case ends-HoldFrom < len(holds):
 		return holds[ends-HoldFrom]
 	}
-	return Forever
+	return forever
 }
 
 // Times after which an entry is forgotten, from its last change.
@@ -47,6 +47,27 @@
 	keepProven = 24 * time.Hour
 )
 
+// keepTime is how long an entry is kept.
+func keepTime(ends int) time.Duration {
+	if ends >= provenFrom {
+		return keepProven
+	}
+	return keepSuspect
+}
+
+// tellTime is how long the members are told of a request.
+func tellTime(ends int) time.Duration {
+	const part = 2
+	if ends == 0 {
+		return tellCleared
+	}
+	return keepTime(ends) / part
+}
+
+// tellCleared is how long the members are told that a request is cleared. All that can
+// be reached have heard it by then.
+const tellCleared = time.Minute
+
 // endsTogether is the time within which upstreams that end may do so for one cause that
 // is none of their requests.
 const endsTogether = 2 * time.Second
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -12,10 +12,11 @@
 // ago: it may run again.
 const MaxEntries = 4096
 
-// Ledger is what one member knows of the requests for one service.
+// Ledger is what one member knows of requests, whichever services run them: a route
+// may come to lead to other upstreams, and the request end those as well.
 type Ledger struct {
-	// size is the number of entries, read without the lock: calls of a service
-	// without any go past the ledger.
+	// size is the number of entries, read without the lock: without any, calls go
+	// past the ledger.
 	size atomic.Int64
 
 	mu      sync.Mutex
@@ -29,6 +30,8 @@
 type entry struct {
 	ends  int
 	stamp uint64
+	// tries is how many trials since showed nothing.
+	tries int
 	// worst is the most ends of a request that was proven to be the cause and then
 	// cleared: should it end another upstream, it is held as before.
 	worst int
@@ -67,6 +70,8 @@
 	Action Action
 	// Ends is how many upstreams in turn have ended under the request.
 	Ends int
+	// Stamp is that of the Record which says so.
+	Stamp uint64
 	// After is how long it is still held.
 	After time.Duration
 }
@@ -86,20 +91,24 @@
 
 func (l *Ledger) decide(f Fingerprint, now time.Time) Verdict {
 	e := l.entries[f]
-	if e == nil || e.ends < HoldFrom {
-		return Verdict{Ends: e.known()}
+	if e == nil {
+		return Verdict{}
+	}
+	verdict := Verdict{Ends: e.ends, Stamp: e.stamp}
+	if e.ends < HoldFrom {
+		return verdict
 	}
-	if left := HoldTime(e.ends) - now.Sub(e.since); left > 0 {
-		return Verdict{Action: Hold, Ends: e.ends, After: left}
+	verdict.Action = Trial
+	if left := e.left(now); left > 0 {
+		verdict.Action, verdict.After = Hold, left
 	}
-	return Verdict{Action: Trial, Ends: e.ends}
+	return verdict
 }
 
-func (e *entry) known() int {
-	if e == nil {
-		return 0
-	}
-	return e.ends
+// left is how long the request is still held. A trial that showed nothing counts like
+// an end: it may have cost one.
+func (e *entry) left(now time.Time) time.Duration {
+	return max(HoldTime(e.ends+e.tries)-now.Sub(e.since), 0)
 }
 
 // Begin tells whether a request may run here. A Trial has begun with it, and ends with
@@ -116,23 +125,37 @@
 		return verdict
 	}
 	if l.trying {
-		return Verdict{Action: Hold, Ends: verdict.Ends, After: trialTime}
+		verdict.Action, verdict.After = Hold, trialTime
+		return verdict
 	}
 	l.trial, l.trying = f, true
 	return verdict
 }
 
-// Abandon ends a trial that showed nothing.
-func (l *Ledger) Abandon(f Fingerprint) {
+// Abandon ends a trial that showed nothing. If the request was sent to the upstream, it
+// is held again, for longer.
+func (l *Ledger) Abandon(f Fingerprint, sent bool, now time.Time) {
+	if l.Empty() {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.endTrial(f)
+	if !l.endTrial(f) || !sent {
+		return
+	}
+	if e := l.entries[f]; e != nil && e.ends >= HoldFrom {
+		e.tries++
+		e.since = now
+	}
 }
 
-func (l *Ledger) endTrial(f Fingerprint) {
-	if l.trying && l.trial == f {
-		l.trying = false
+// endTrial ends the trial of a request, and reports whether there was one.
+func (l *Ledger) endTrial(f Fingerprint) bool {
+	if !l.trying || l.trial != f {
+		return false
 	}
+	l.trying = false
+	return true
 }
 
 // Completed clears a request that has run to its end here. The record is news for the
@@ -179,7 +202,7 @@
 	if e.ends >= HoldFrom {
 		e.stamp++
 	}
-	e.ends, e.cleared = 0, true
+	e.ends, e.tries, e.cleared = 0, 0, true
 	e.since = now
 }
 
@@ -206,7 +229,7 @@
 		e.stamp, e.cleared = told.Stamp, true
 		return news, Record{}, false
 	}
-	e.ends, e.stamp, e.since = told.Ends, told.Stamp, now
+	e.ends, e.stamp, e.since, e.tries = told.Ends, told.Stamp, now, 0
 	if told.Ends < provenFrom && e.completedSince(now) {
 		e.clear(now)
 		return true, e.record(told.Fingerprint), true
@@ -214,20 +237,6 @@
 	return true, Record{}, false
 }
 
-// Hear keeps what an answer told of a request, until the members' records arrive.
-func (l *Ledger) Hear(f Fingerprint, ends int, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e := l.entries[f]
-	switch {
-	case e == nil:
-		e = l.add(f, now)
-	case ends <= e.ends || e.clearedLately(now):
-		return
-	}
-	e.ends, e.since = min(ends, MaxEnds), now
-}
-
 // Suspect notes requests that were running at an upstream of another member as that
 // ended.
 func (l *Ledger) Suspect(suspects []Fingerprint, now time.Time) {
@@ -293,11 +302,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for f, e := range l.entries {
-		keep := keepSuspect
-		if e.weight() >= provenFrom {
-			keep = keepProven
-		}
-		if now.Sub(e.since) >= keep {
+		if now.Sub(e.since) >= keepTime(e.weight()) {
 			delete(l.entries, f)
 		}
 	}
@@ -327,7 +332,7 @@
 				Fingerprint: f,
 				Ends:        e.ends,
 				Since:       e.since,
-				Left:        max(HoldTime(e.ends)-now.Sub(e.since), 0),
+				Left:        e.left(now),
 				Label:       e.label,
 			})
 		}
@@ -338,6 +343,24 @@
 	return held
 }
 
+// Told returns what is to be told of the requests that are held back, in no order. It
+// leaves out what is to be forgotten soon, or members would learn it from each other
+// for ever.
+func (l *Ledger) Told(now time.Time) []Record {
+	if l.Empty() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var records []Record
+	for f, e := range l.entries {
+		if e.ends >= HoldFrom && now.Sub(e.since) < tellTime(e.ends) {
+			records = append(records, e.record(f))
+		}
+	}
+	return records
+}
+
 // Counts are the numbers of entries.
 type Counts struct{ Suspects, Held int }
 
