node: a request that was given up is blamed also where nothing else ran; held requests are stored from two ends on

Callers saw nothing yet; TestRequestThatWasGivenUpIsBlamed failed in 2 of 25 runs with 4 upstreams ended. Traced: the first end came while no other run was at the upstream, so no connection broke and the end was not found. A new test plays restarts of one and of all nodes, in turn and at once, a cut, and upstreams that end of themselves (TestHeldRequestStaysHeldUnderTrouble). It failed at first for its own stand-in, whose nodes came back at other addresses and did not find each other; with fixed ones it showed that all nodes, restarted between the second and the third end, begin anew: records are stored from two ends on, at most four at a time. TestSeveralCausesAreHeldBackAndThePopularReadIsNot has twelve upstreams now. The bound stays at 0.98; that no popular read is held is checked too.

--- a/node/life.go
+++ b/node/life.go
@@ -83,6 +83,12 @@
 	l.unanswered = append(l.unanswered, run)
 }
 
+func (l *upstreamLife) hasUnanswered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.unanswered) > 0
+}
+
 // takeUnanswered returns the runs that were given up, or lost, a short time ago. It
 // forgets all.
 func (l *upstreamLife) takeUnanswered(lost time.Duration, now time.Time) []quarantine.Running {
@@ -133,6 +139,26 @@
 	return true
 }
 
+// goneUnder takes in that the upstream refused a dial while it ran nothing that would
+// have broken. If a run was given up a short time ago, that one may have ended it.
+func (n *Node) goneUnder(up *upstream, err error) {
+	life := up.life
+	if !errors.Is(err, syscall.ECONNREFUSED) || !life.hasUnanswered() || n.leaving(up) {
+		return
+	}
+	life.turn <- struct{}{}
+	defer func() { <-life.turn }()
+	now := n.now()
+	if broken, whole := n.visits.under(life, now.Add(-breakTime)); len(broken)+whole > 0 {
+		return
+	}
+	if runs := life.takeUnanswered(lostBefore, now); len(runs) > 0 {
+		life.endedAt.Store(now.UnixNano())
+		n.upstreamEnded(up, runs)
+		life.completed.Reset()
+	}
+}
+
 // leaving tells that the upstream was going to end, or this node is: no request is
 // the cause.
 func (n *Node) leaving(up *upstream) bool {
--- a/node/local.go
+++ b/node/local.go
@@ -96,7 +96,9 @@
 	nothingRan := l.node.visits.closeProved(l.visit)
 	outcome, reason := call.Unknown, lossReason(l.visit.ctx, err)
 	l.unsent = unsent
-	if !unsent {
+	if unsent {
+		l.node.goneUnder(l.upstream, err)
+	} else {
 		reason = l.brokenReason(reason)
 	}
 	result := admission.Failed
--- a/node/mortal_test.go
+++ b/node/mortal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,8 +45,10 @@
 	// path reached one.
 	ends     []time.Time
 	arrivals map[string][]time.Time
-	// kill ends the upstream beside each node, whatever it is running.
-	kill map[*Node]func()
+	// under has the times at which upstreams ended while they ran a path.
+	under map[string][]time.Time
+	// upstreams are those beside the nodes, in their order.
+	upstreams []*mortal
 }
 
 // addMortals starts as many nodes of the service desk, each with its upstream.
@@ -57,7 +60,7 @@
 
 // mortals makes the service without upstreams.
 func (f *fleet) mortals() *mortals {
-	return &mortals{fleet: f, arrivals: make(map[string][]time.Time), kill: make(map[*Node]func()), away: restartTime}
+	return &mortals{fleet: f, arrivals: make(map[string][]time.Time), under: make(map[string][]time.Time), away: restartTime}
 }
 
 // start starts as many nodes, each with its upstream.
@@ -69,66 +72,99 @@
 }
 
 func (m *mortals) addMortal(name string, adjust ...func(*Settings)) *Node {
-	host := m.net.Host(name)
+	u := &mortal{mortals: m, name: name, host: m.net.Host(name), adjust: adjust}
+	m.upstreams = append(m.upstreams, u)
+	u.startNode()
+	u.live()
+	return u.node
+}
+
+// startNode starts the node beside the upstream.
+func (u *mortal) startNode() {
 	settings := DefaultSettings()
 	settings.Service = "desk"
-	settings.Network = host
-	settings.Store = m.store
-	settings.Peers = m.peers
+	settings.Network = u.host
+	settings.Store = u.store
+	settings.Peers = u.peers
 	settings.GossipInterval = 100 * time.Millisecond
 	settings.Edge = ""
+	// A node that is restarted is found where it was.
+	settings.Gossip, settings.Peer, settings.Outbound = "x:7001", "x:7002", "x:7003"
 	settings.Dialect = plainDialect{}
-	for _, a := range adjust {
+	for _, a := range u.adjust {
 		a(&settings)
 	}
 	n, err := New(settings)
-	m.c.Assert(err, qt.IsNil)
-	m.c.Assert(n.Start(m.t.Context()), qt.IsNil)
-	m.fleet.nodes[name] = n
-	m.peers = append(m.peers, n.Addr("gossip"))
+	u.c.Assert(err, qt.IsNil)
+	u.c.Assert(n.Start(u.t.Context()), qt.IsNil)
+	u.fleet.nodes[u.name] = n
+	if addr := n.Addr("gossip"); !slices.Contains(u.peers, addr) {
+		u.peers = append(u.peers, addr)
+	}
 	set, err := config.Parse([]byte(routedSet), config.YAML)
-	m.c.Assert(err, qt.IsNil)
-	m.c.Assert(n.OfferConfig(set), qt.IsNil)
-	(&mortal{mortals: m, node: n, name: name, host: host}).live(1)
-	return n
+	u.c.Assert(err, qt.IsNil)
+	u.c.Assert(n.OfferConfig(set), qt.IsNil)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.node = n
+}
+
+// restartNode kills a node and starts it anew; its upstream goes on.
+func (m *mortals) restartNode(i int) {
+	u := m.upstreams[i]
+	m.nodes[i].Close()
+	u.startNode()
+	m.nodes[i] = u.node
+	u.announce()
 }
 
+// name returns the host of a node.
+func (m *mortals) name(i int) string { return m.upstreams[i].name }
+
 // mortal is one upstream in the course of its lives.
 type mortal struct {
 	*mortals
+	name   string
+	host   *memnet.Host
+	adjust []func(*Settings)
+	// node is the one beside it, life counts its incarnations and end ends the
+	// present one; mu guards them.
 	node *Node
-	name string
-	host *memnet.Host
+	life int
+	end  func()
 }
 
 // live starts the upstream anew.
-func (u *mortal) live(life int) {
-	addr := u.name + ":7000"
-	listener, err := u.host.Listen(addr)
+func (u *mortal) live() {
+	listener, err := u.host.Listen("x:7000")
 	u.c.Assert(err, qt.IsNil)
 	server := &http.Server{}
 	var once sync.Once
-	end := func() {
+	end := func(path string) {
 		once.Do(func() {
 			_ = server.Close()
 			u.mu.Lock()
 			u.ends = append(u.ends, time.Now())
+			if path != "" {
+				u.under[path] = append(u.under[path], time.Now())
+			}
 			u.mu.Unlock()
 			go func() {
 				if objects.Pause(u.t.Context(), u.away) {
-					u.live(life + 1)
+					u.live()
 				}
 			}()
 		})
 	}
 	u.mu.Lock()
-	u.kill[u.node] = end
+	u.life++
+	u.end = func() { end("") }
 	u.mu.Unlock()
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.arrived(r.URL.Path)
 		fatal := strings.Contains(r.URL.Path, fatalPart) && !u.healed.Load()
 		if fatal && u.lasting > 0 {
-			time.AfterFunc(u.lasting, end)
+			time.AfterFunc(u.lasting, func() { end(r.URL.Path) })
 		}
 		if !objects.Pause(r.Context(), runTime) {
 			return
@@ -139,18 +175,26 @@
 			return
 		}
 		if fatal {
-			end()
+			end(r.URL.Path)
 			panic(http.ErrAbortHandler)
 		}
 		echo(w, r, nil)
 	})
 	go func() { _ = server.Serve(listener) }()
 	u.t.Cleanup(func() { _ = server.Close() })
-	a := Announcement{Service: "desk", Addr: addr, Slots: 50}
+	u.announce()
+}
+
+// announce makes the upstream known to its node.
+func (u *mortal) announce() {
+	u.mu.Lock()
+	a := Announcement{Service: "desk", Addr: u.name + ":7000", Slots: 50}
 	if !u.unnamed.Load() {
-		a.Instance, a.Sequence = "life-"+strconv.Itoa(life)+"-"+u.name, 1
+		a.Instance, a.Sequence = "life-"+strconv.Itoa(u.life)+"-"+u.name, 1
 	}
-	u.c.Assert(u.node.Announce(a), qt.IsNil)
+	n := u.node
+	u.mu.Unlock()
+	u.c.Assert(n.Announce(a), qt.IsNil)
 }
 
 func (m *mortals) arrived(path string) {
@@ -162,9 +206,39 @@
 // killOne ends the upstream beside a node.
 func (m *mortals) killOne(n *Node) {
 	m.mu.Lock()
-	kill := m.kill[n]
+	end := func() {}
+	for _, u := range m.upstreams {
+		if u.node == n {
+			end = u.end
+		}
+	}
 	m.mu.Unlock()
-	kill()
+	end()
+}
+
+// endsUnder returns when upstreams ended while they ran a path, as seconds after the
+// first of them.
+func (m *mortals) endsUnder(path string) []float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var after []float64
+	for _, at := range m.under[path] {
+		after = append(after, at.Sub(m.under[path][0]).Seconds())
+	}
+	return after
+}
+
+// endedAfterThird counts the upstreams that ended under a path later than a span after
+// the third.
+func (m *mortals) endedAfterThird(path string, span time.Duration) int {
+	late := 0
+	after := m.endsUnder(path)
+	for _, at := range after {
+		if at > after[min(2, len(after)-1)]+span.Seconds() {
+			late++
+		}
+	}
+	return late
 }
 
 // ended returns how many upstreams have ended.
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -140,10 +140,12 @@
 // running, and tells the members.
 func (n *Node) blameRuns(runs []quarantine.Running) {
 	blame := n.quarantine.ledger.Blame(runs, n.now())
-	for _, held := range blame.Held {
+	for i, held := range blame.Held {
 		n.noteHeld(held.Record, held.Label)
 		n.quarantine.bulletin.Post(held.Record, n.now())
-		n.keepRecord(held.Record, held.Label)
+		if i < maxKeptAtOnce {
+			n.keepRecord(held.Record, held.Label)
+		}
 	}
 	if len(blame.Held) > 0 {
 		n.tellHeld()
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -73,7 +73,7 @@
 // the popular read beside them.
 func TestSeveralCausesAreHeldBackAndThePopularReadIsNot(t *testing.T) {
 	inFleet(t, func(f *fleet) {
-		m := f.addMortals(6)
+		m := f.addMortals(12)
 		popular := m.call(10*time.Millisecond, always("/browse/popular"))
 		culprits := m.call(700*time.Millisecond, func(i int) string { return fatalPath + strconv.Itoa(i%4) })
 		time.Sleep(time.Minute)
@@ -83,6 +83,7 @@
 			path := fatalPath + strconv.Itoa(i)
 			f.c.Check(m.reached(path) <= 6, qt.IsTrue, qt.Commentf("%s reached upstreams %d times", path, m.reached(path)))
 		}
+		f.c.Check(popular.held.Load(), qt.Equals, int64(0))
 		f.c.Check(popular.share() > 0.98, qt.IsTrue, qt.Commentf("%.3f of the popular reads served", popular.share()))
 	})
 }
--- /dev/null
+++ b/node/quarantine_trouble_test.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// trouble is one thing that goes wrong beside requests that end upstreams. It takes some
+// seconds, and all is whole again after it.
+type trouble func(m *mortals, random *rand.Rand)
+
+var troubles = map[string]trouble{
+	"a node restarts": func(m *mortals, random *rand.Rand) {
+		m.restartNode(random.IntN(len(m.nodes)))
+	},
+	"all nodes restart in turn": func(m *mortals, _ *rand.Rand) {
+		for i := range m.nodes {
+			m.restartNode(i)
+			time.Sleep(time.Second)
+		}
+	},
+	"all nodes restart at once": func(m *mortals, _ *rand.Rand) {
+		for i := range m.nodes {
+			m.restartNode(i)
+		}
+	},
+	"an upstream ends of itself": func(m *mortals, random *rand.Rand) {
+		m.killOne(m.nodes[random.IntN(len(m.nodes))])
+	},
+	"a node is cut off": func(m *mortals, random *rand.Rand) {
+		cut := random.IntN(len(m.nodes))
+		each := func(change func(a, b string)) {
+			for i := range m.nodes {
+				if i != cut {
+					change(m.name(cut), m.name(i))
+					change(m.name(i), m.name(cut))
+				}
+			}
+		}
+		each(m.net.Cut)
+		time.Sleep(5 * time.Second)
+		each(m.net.Heal)
+	},
+	"the upstreams end together": func(m *mortals, _ *rand.Rand) {
+		for _, n := range m.nodes {
+			m.killOne(n)
+		}
+	},
+}
+
+// Guards against losing count of a request that ends upstreams while nodes restart, are
+// cut off, and upstreams end of themselves: after the third end under it, and a time for
+// the news to spread, it comes to few upstreams more.
+func TestHeldRequestStaysHeldUnderTrouble(t *testing.T) {
+	for name, happens := range troubles {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
+				inFleet(t, func(f *fleet) {
+					random := rand.New(rand.NewPCG(seed, seed))
+					m := f.addMortals(4)
+					culprit := m.call(700*time.Millisecond, always(fatalPath))
+					writes := m.call(1100*time.Millisecond, always(fatalWrite))
+					innocent := m.call(50*time.Millisecond, func(i int) string { return "/browse/" + strconv.Itoa(i%40) })
+					for range 4 {
+						time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
+						happens(m, random)
+						time.Sleep(5 * time.Second)
+					}
+					culprit.stop()
+					writes.stop()
+					innocent.stop()
+					for _, path := range []string{fatalPath, fatalWrite} {
+						late := m.endedAfterThird(path, 3*time.Second)
+						f.c.Check(late <= 3, qt.IsTrue, qt.Commentf("%s: %d upstreams ended later, at %v", path, late, m.endsUnder(path)))
+					}
+				})
+			})
+		}
+	}
+}
--- a/node/quarantinestore.go
+++ b/node/quarantinestore.go
@@ -15,9 +15,9 @@
 const quarantineKind = "pollengauge-quarantine"
 
 const (
-	// keptFrom is the number of ends from which a record goes to the platform. Fewer
-	// hold a request for seconds only.
-	keptFrom = 3
+	// maxKeptAtOnce bounds the records that one end sends to the platform. Where more
+	// requests are in question, most of them are innocent and held for seconds only.
+	maxKeptAtOnce = 4
 	// maxKeptWaiting bounds the records on their way to the platform.
 	maxKeptWaiting = 64
 	// keptPause is the time between two tries at the platform.
@@ -46,7 +46,7 @@
 // keepRecord has a record stored, so that the members know it when all of them have
 // been started anew. One that clears a request removes what is stored.
 func (n *Node) keepRecord(record quarantine.Record, label string) {
-	if n.store == nil || record.Ends > 0 && record.Ends < keptFrom {
+	if n.store == nil {
 		return
 	}
 	kept := keptRecord{
