node, soak: an upstream behind what accepts connections without it has ended too

Callers saw, in the soak: a request under which upstreams end came to nine of them. Traced in its logs: runs end with reason lost in under a millisecond, hundreds in a second. Between node and upstream stands a proxy, as a port forwarder would, which accepts and then closes: no dial is ever refused. The next announcement of another instance would have counted, but the 64 runs that were remembered were the latest ones, those that failed after the end. Change: a new connection that is closed within 5 ms without a word is a refused one; of the runs without an answer the first 512 are remembered. Test: two more kinds in TestUpstreamsThatAreBackAtOnceCount; without the change "forwarded and unnamed" fails with 58 ended. The soak has the fault: the same request, at the VMs of one service in turn, for 13 s, under which upstreams crash; its checker, with a planted fault, counts what comes after the third end and 3 s, sent by VMs without a fault.

--- a/cmd/pollengauge/soak/doc.go
+++ b/cmd/pollengauge/soak/doc.go
@@ -8,7 +8,8 @@
 // that delays, resets, cuts or silences connections. They come in series and
 // overlap, and customers use their connections until the process is gone. Some
 // customers send requests behind one another, upload, break off halfway, or
-// change zones; another program writes to the store as well.
+// change zones; another program writes to the store as well. Now and then the same
+// request comes again and again under which upstreams end.
 //
 // The clock of a process can't be set from outside it without privileges; steps
 // of the clock are left to the tests with injected ones.
--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -49,6 +49,7 @@
 	j.halvesDoNotRun()
 	j.memoryIsBounded()
 	j.foreignEntriesStay()
+	j.fatalRequestsAreHeld()
 	if t.timed {
 		j.leavingGetsNothing()
 		j.retriesAreBounded()
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -42,6 +42,7 @@
 	restartUpstream fault = "restart-upstream"
 	manyUploads     fault = "many-uploads"
 	otherWriter     fault = "other-writer"
+	fatalRequest    fault = "fatal-request"
 	// growConfig is no fault of the list: each plan has the same number.
 	growConfig fault = "grow"
 )
@@ -50,12 +51,12 @@
 	killNode, termNode, pauseNode, reloadNode, rewriteSettings, crashUpstream, replaceUpstream, slowUpstream,
 	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
 	storeLoses, storeForgets, storePaused, changeConfig, killAll,
-	restartUpstream, manyUploads, otherWriter,
+	restartUpstream, manyUploads, otherWriter, fatalRequest,
 }
 
 // inEveryPlan are drawn once more for each plan, so that none goes without what
 // their checkers judge.
-var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter}
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest}
 
 // step is one fault of a plan.
 type step struct {
@@ -145,6 +146,9 @@
 	case changeConfig:
 		f.operator.change(ctx)
 		return
+	case fatalRequest:
+		f.sendFatal(ctx, f.vms[s.vms[0]])
+		return
 	default:
 		vms := s.vms
 		if s.fault == killAll {
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -8,7 +8,7 @@
 )
 
 var plantedTerms = terms{
-	allowed:  map[string][]string{"/file/": {"filing"}, "/probe/": {"web", "filing"}},
+	allowed:  map[string][]string{"/file/": {"filing"}, pathBrowse: {"web"}, "/probe/": {"web", "filing"}},
 	attempts: 2, timeout: time.Second, drain: 2 * time.Second,
 	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: true,
 }
@@ -101,6 +101,13 @@
 		{"upstream that came back gets nothing", "return", func(r *record) {
 			r.returns = []comeback{{vm: 1, life: 2, at: at.Add(-2 * returnWithin)}}
 		}},
+		{"request goes on ending upstreams", "held", func(r *record) {
+			for i := range 8 {
+				id := "fatal" + string(rune('0'+i))
+				r.sent = append(r.sent, sent{id: id, vm: 1, path: pathBrowse + fatalPart, method: "GET", origin: "web"})
+				r.runs = append(r.runs, run{id: id, at: at.Add(time.Duration(i) * 2 * time.Second), vm: 1, service: "web", instance: "i-2", method: "GET", path: pathBrowse + fatalPart, origin: "web", executed: true})
+			}
+		}},
 		{"entry of another writer is overwritten", "foreign", func(r *record) { r.entries = []entry{{kind: "config", name: "x", wrote: "7", found: "8"}} }},
 		{"entry of another writer is gone", "foreign", func(r *record) { r.entries = []entry{{kind: "config", name: "x", wrote: "7"}} }},
 		{"refused in one zone, run in both", "once", func(r *record) {
--- a/cmd/pollengauge/soak/summary_test.go
+++ b/cmd/pollengauge/soak/summary_test.go
@@ -46,6 +46,17 @@
 	}
 	tell("%d requests on added routes, %d served; %d heartbeats after restarts under the id; %d entries of another writer; most memory %d MiB",
 		len(added), r.count(added), len(r.returns), len(r.entries), most>>20)
+	fatal := make(map[string]int)
+	for _, x := range r.runs {
+		if x.executed && isFatal(x.path) {
+			fatal[x.path]++
+		}
+	}
+	var ends []int
+	for _, n := range fatal {
+		ends = append(ends, n)
+	}
+	tell("%d requests under which upstreams end, which ended %v", len(fatal), ends)
 	return strings.Join(lines, "\n    ")
 }
 
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -170,6 +170,11 @@
 	}
 	defer func() { <-i.slots }()
 	x.executed = true
+	if isFatal(x.path) {
+		add(i.record, &i.record.runs, x)
+		i.endUnder()
+		panic(http.ErrAbortHandler)
+	}
 	x.status = i.execute(ctx, x.id)
 	x.signature = signature(x.id, i.instance, i.count.Add(1))
 	x.answer = strings.Repeat(x.signature, 1+rand.IntN(200))
--- a/node/life.go
+++ b/node/life.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -34,8 +36,8 @@
 	completed quarantine.Completions
 
 	mu sync.Mutex
-	// unanswered are the latest runs that ended without an answer while the upstream
-	// was there; mu guards it.
+	// unanswered are the runs that ended without an answer while the upstream seemed
+	// to be there, in order of time; mu guards it.
 	unanswered []unansweredRun
 }
 
@@ -54,10 +56,14 @@
 	// breakTime is the time in which all connections to an upstream that has ended
 	// are found broken.
 	breakTime = 20 * time.Millisecond
+	// greeting is how long a new connection must stay open for the upstream to be
+	// there: what stands between, as a port forwarder, accepts and then closes it.
+	greeting = 5 * time.Millisecond
 	// maxUnanswered bounds the runs that are remembered, and the rest for how long:
 	// an upstream may end under a request some time after its caller has given up,
-	// and one that is back at once is only known by its next announcement.
-	maxUnanswered     = 64
+	// and one that is back at once is only known by its next announcement. If there
+	// are too many, the first stay: those that failed at once came after the end.
+	maxUnanswered     = 512
 	givenUpRemembered = time.Second
 	lostRemembered    = 3 * time.Second
 	// lostBefore is how long before an end is found the runs that it broke may have
@@ -77,10 +83,14 @@
 func (l *upstreamLife) remember(run unansweredRun) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.unanswered) == maxUnanswered {
-		l.unanswered = append(l.unanswered[:0], l.unanswered[1:]...)
+	old := 0
+	for old < len(l.unanswered) && run.at.Sub(l.unanswered[old].at) >= lostRemembered {
+		old++
+	}
+	l.unanswered = append(l.unanswered[:0], l.unanswered[old:]...)
+	if len(l.unanswered) < maxUnanswered {
+		l.unanswered = append(l.unanswered, run)
 	}
-	l.unanswered = append(l.unanswered, run)
 }
 
 func (l *upstreamLife) hasUnanswered() bool {
@@ -165,15 +175,15 @@
 	return up.Draining || n.draining.Load() || n.ending.Load()
 }
 
-// refusesDials reports whether nothing listens any more at the upstream's address.
-// The holder of the life's turn calls it.
+// refusesDials reports whether nothing serves any more at the upstream's address. The
+// holder of the life's turn calls it.
 func (n *Node) refusesDials(up *upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := n.network.Dial(ctx, up.Addr)
 	if err == nil {
-		_ = conn.Close()
-		return false
+		defer func() { _ = conn.Close() }()
+		return closesAtOnce(conn)
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return true
@@ -182,6 +192,15 @@
 	return false
 }
 
+// closesAtOnce reports whether the other side closes a new connection without a word.
+func closesAtOnce(conn net.Conn) bool {
+	if err := conn.SetReadDeadline(time.Now().Add(greeting)); err != nil {
+		return false
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // upstreamReplaced takes in that another incarnation has announced itself in the place
 // of one that did not say that it leaves, and that nobody has found ended.
 //
--- a/node/mortal_test.go
+++ b/node/mortal_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,6 +36,9 @@
 	// healed upstreams survive the marked requests, and unnamed ones do not tell one
 	// incarnation from the next.
 	healed, unnamed atomic.Bool
+	// forwarded upstreams are reached through something that accepts connections
+	// whether they are there or not.
+	forwarded bool
 	// away is how long one that has ended is away, and lasting how long after the run
 	// of a marked request has ended it ends itself.
 	away, lasting time.Duration
@@ -75,10 +80,40 @@
 	u := &mortal{mortals: m, name: name, host: m.net.Host(name), adjust: adjust}
 	m.upstreams = append(m.upstreams, u)
 	u.startNode()
+	if m.forwarded {
+		u.forward()
+	}
 	u.live()
 	return u.node
 }
 
+// forward passes connections on to the upstream.
+func (u *mortal) forward() {
+	listener, err := u.host.Listen("x:7100")
+	u.c.Assert(err, qt.IsNil)
+	u.t.Cleanup(func() { _ = listener.Close() })
+	pass := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		_ = to.Close()
+		_ = from.Close()
+	}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := u.host.Dial(u.t.Context(), u.name+":7000")
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go pass(near, far)
+			go pass(far, near)
+		}
+	}()
+}
+
 // startNode starts the node beside the upstream.
 func (u *mortal) startNode() {
 	settings := DefaultSettings()
@@ -189,6 +224,9 @@
 func (u *mortal) announce() {
 	u.mu.Lock()
 	a := Announcement{Service: "desk", Addr: u.name + ":7000", Slots: 50}
+	if u.forwarded {
+		a.Addr = u.name + ":7100"
+	}
 	if !u.unnamed.Load() {
 		a.Instance, a.Sequence = "life-"+strconv.Itoa(u.life)+"-"+u.name, 1
 	}
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -114,21 +114,25 @@
 }
 
 // Guards against a request that goes on ending upstreams whose ends can't be told from
-// lost answers: they are back at once, or do not name themselves.
+// lost answers: they are back at once, do not name themselves, or stand behind what
+// accepts connections without them.
 func TestUpstreamsThatAreBackAtOnceCount(t *testing.T) {
 	for _, kind := range []struct {
-		name    string
-		away    time.Duration
-		unnamed bool
+		name               string
+		away               time.Duration
+		unnamed, forwarded bool
 	}{
-		{"back at once", time.Nanosecond, false},
-		{"unnamed", restartTime, true},
+		{"back at once", time.Nanosecond, false, false},
+		{"unnamed", restartTime, true, false},
+		{"forwarded", restartTime, false, true},
+		{"forwarded and unnamed", restartTime, true, true},
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			inFleet(t, func(f *fleet) {
 				m := f.mortals()
 				m.away = kind.away
 				m.unnamed.Store(kind.unnamed)
+				m.forwarded = kind.forwarded
 				m.start(3)
 				culprit := m.call(700*time.Millisecond, always(fatalWrite))
 				time.Sleep(time.Minute)
