node: runs that break together share one look at their upstream; ends are ordered by the steady clock

Read in code, no run showed it: each run whose answer was lost dialled the upstream by itself, in turn, 5 ms each, so a hundred connections reset at once held up the last retry by half a second; a look that began after the run broke now answers for it. An end was compared with the begin of runs by the time of day, which may be set.

--- a/node/life.go
+++ b/node/life.go
@@ -25,13 +25,13 @@
 type upstreamLife struct {
 	// turn is held by the run that looks whether the upstream is there.
 	turn chan struct{}
-	// endedAt is when it was last found to have ended, in nanoseconds of the Unix
-	// epoch, 0 if it never was. An upstream that does not name itself may be back
-	// without notice: what began later is a run of the next incarnation.
-	endedAt atomic.Int64
-	// silent is until when the upstream is not asked again, as it answered nothing.
-	// The holder of turn has it.
-	silent time.Time
+	// endedAt is when it was last found to have ended, nil if it never was. An
+	// upstream that does not name itself may be back without notice: what began later
+	// is a run of the next incarnation.
+	endedAt atomic.Pointer[time.Time]
+	// silent is until when the upstream is not asked again, as it answered nothing,
+	// and seen when it was last asked and there. The holder of turn has them.
+	silent, seen time.Time
 	// completed has requests that completed.
 	completed quarantine.Completions
 
@@ -76,7 +76,7 @@
 // endedSince reports whether the upstream is known to have ended after a run began.
 func (l *upstreamLife) endedSince(began time.Time) bool {
 	at := l.endedAt.Load()
-	return at != 0 && began.UnixNano() <= at
+	return at != nil && !began.After(*at)
 }
 
 // remember keeps a run that ended without an answer.
@@ -132,18 +132,24 @@
 	if life.endedSince(v.started) {
 		return true
 	}
-	if n.leaving(up) || n.now().Before(life.silent) || !n.refusesDials(up) {
+	if life.seen.After(broke) || n.leaving(up) || n.now().Before(life.silent) {
+		return false
+	}
+	asked := n.now()
+	if !n.refusesDials(up) {
+		life.seen = asked
 		return false
 	}
 	objects.Pause(context.Background(), breakTime)
 	broken, alive := n.visits.under(life, broke)
 	if alive > len(broken) {
 		// It only takes no more connections.
+		life.seen = asked
 		return false
 	}
 	now := n.now()
 	runs := append(runningOf(broken), life.takeUnanswered(lostBefore, now)...)
-	life.endedAt.Store(now.UnixNano())
+	life.endedAt.Store(&now)
 	n.upstreamEnded(up, runs)
 	life.completed.Reset()
 	return true
@@ -163,7 +169,7 @@
 		return
 	}
 	if runs := life.takeUnanswered(lostBefore, now); len(runs) > 0 {
-		life.endedAt.Store(now.UnixNano())
+		life.endedAt.Store(&now)
 		n.upstreamEnded(up, runs)
 		life.completed.Reset()
 	}
@@ -207,7 +213,7 @@
 // The failure: a supervisor starts the upstream again within milliseconds, so dials are
 // never refused, and the request that ends it is taken for one whose answer was lost.
 func (n *Node) upstreamReplaced(old *upstream) {
-	if n.leaving(old) || old.life.endedAt.Load() != 0 {
+	if n.leaving(old) || old.life.endedAt.Load() != nil {
 		return
 	}
 	if runs := old.life.takeUnanswered(lostRemembered, n.now()); len(runs) > 0 {
