--- a/proof/behavior.go
+++ b/proof/behavior.go
@@ -29,12 +29,14 @@
 	Trickle
 	// Switch: answers 101 without having been asked to.
 	Switch
+	// End: does its work and ends, as in a crash; it is back later.
+	End
 )
 
-// Modes are all modes, for drawing one.
+// Modes are the modes that spare the upstream, for drawing one.
 var Modes = []Mode{Answer, ShedFirst, ShedAfterCalls, CrashFirst, CrashAfter, Truncate, LateCall, ShedLateCall, OrphanCall, Trickle, Switch}
 
-var modeNames = [...]string{"answer", "shed-first", "shed-after-calls", "crash-first", "crash-after", "truncate", "late-call", "shed-late-call", "orphan-call", "trickle", "switch"}
+var modeNames = [...]string{"answer", "shed-first", "shed-after-calls", "crash-first", "crash-after", "truncate", "late-call", "shed-late-call", "orphan-call", "trickle", "switch", "end"}
 
 // GoString makes drawn modes readable.
 func (m Mode) GoString() string { return modeNames[m] }
--- a/proof/errors.go
+++ b/proof/errors.go
@@ -2,7 +2,7 @@
 
 import "strconv"
 
-// Promise is one of the eight things that must always hold, numbered as in
+// Promise is one of the nine things that must always hold, numbered as in
 // docs/PROMISES.md.
 type Promise int
 
@@ -16,6 +16,7 @@
 	LeavingGetsNoWork
 	GracefulCutsNothing
 	ConfigNeverReverts
+	UpstreamsOutlast
 )
 
 var promiseNames = [...]string{
@@ -27,6 +28,7 @@
 	LeavingGetsNoWork:   "a leaving upstream gets no new work",
 	GracefulCutsNothing: "a graceful shutdown cuts off nothing",
 	ConfigNeverReverts:  "an accepted configuration is soon in force and never reverts",
+	UpstreamsOutlast:    "one request can't take its service down",
 }
 
 // String returns the promise in a few words.
--- a/proof/safeguards_test.go
+++ b/proof/safeguards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,7 @@
 	{"keys have homes", AtMostOnce, node.Ablation{NoKeyHome: true}, keyAtThreeNodes},
 	{"the transport never replays", AtMostOnce, node.Ablation{TransportReplays: true}, reusedConnectionBreaks},
 	{"drains are told and refused", LeavingGetsNoWork, node.Ablation{NoDrainNews: true}, drainUnderLoad},
+	{"requests under which upstreams end are held", UpstreamsOutlast, node.Ablation{NoQuarantine: true}, endsItsUpstreams},
 	{"drains wait", GracefulCutsNothing, node.Ablation{NoDrainWait: true}, exitWithCallsInFlight},
 }
 
@@ -87,6 +89,32 @@
 	w.presentNow(o, "p1", "", 0)
 }
 
+// mostEnds is how many upstreams one request may end while it is found to be the cause:
+// two before it is held, and one at its trial.
+const mostEnds = 3
+
+// A request ends each upstream that runs it, and comes again and again.
+func endsItsUpstreams(w *world, adjust func(*node.Settings)) {
+	hosts := []string{"p1", "p2", "p3"}
+	w.startAll("portal", 10, adjust, hosts...)
+	w.settle()
+	for _, host := range hosts {
+		w.Member(host).Upstream.Behave(Behavior{Mode: End, Path: "/fatal"})
+	}
+	for i := range 20 {
+		o := w.Ledger.Add(Operation{Credit: testCredit, Root: Call{Service: "portal", Method: "GET", Path: "/fatal"}})
+		w.presentNow(o, hosts[i%len(hosts)], "", 0)
+		time.Sleep(time.Second)
+	}
+	ends := 0
+	for _, host := range hosts {
+		ends += w.Member(host).Upstream.Ends()
+	}
+	if ends > mostEnds {
+		w.Ledger.Report(&Violation{Promise: UpstreamsOutlast, Subject: "/fatal", Detail: strconv.Itoa(ends) + " upstreams ended"})
+	}
+}
+
 // The upstream breaks off within its answer.
 func truncatedAnswer(w *world, adjust func(*node.Settings)) {
 	w.startAll("portal", 10, adjust, "p1")
--- a/proof/upstream.go
+++ b/proof/upstream.go
@@ -19,7 +19,6 @@
 	host    string
 	service string
 	ledger  *Ledger
-	server  *http.Server
 	out     *http.Transport
 	addr    string
 	late    sync.WaitGroup
@@ -27,6 +26,11 @@
 	mu       sync.Mutex
 	behavior Behavior
 	usual    Behavior
+	// server is the one of this life, nil while the upstream is away; ends counts
+	// its ends, and closed is set once it does not come back.
+	server *http.Server
+	ends   int
+	closed bool
 }
 
 // startUpstream serves on a host; outbound is the listener of its node.
@@ -43,17 +47,73 @@
 		DisableKeepAlives: true,
 		DialContext:       func(ctx context.Context, _, _ string) (net.Conn, error) { return host.Dial(ctx, outbound) },
 	}
-	u.server = &http.Server{Handler: u}
-	go func() { _ = u.server.Serve(listener) }()
+	u.serve(listener)
 	return u, nil
 }
 
+// serve begins a life of the upstream.
+func (u *Upstream) serve(listener net.Listener) {
+	server := &http.Server{Handler: u}
+	u.mu.Lock()
+	u.server = server
+	u.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+}
+
 func (u *Upstream) close() {
-	_ = u.server.Close()
+	u.mu.Lock()
+	u.closed = true
+	server := u.server
+	u.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
 	u.late.Wait()
 	u.out.CloseIdleConnections()
 }
 
+// awayFor is how long an upstream that has ended is away.
+const awayFor = 2 * time.Second
+
+// end ends the upstream under a call: all connections break, and nothing listens until
+// it is back.
+func (u *Upstream) end() {
+	u.mu.Lock()
+	server := u.server
+	u.server = nil
+	if server != nil {
+		u.ends++
+	}
+	u.mu.Unlock()
+	if server == nil {
+		return
+	}
+	_ = server.Close()
+	u.late.Go(func() {
+		time.Sleep(awayFor)
+		u.mu.Lock()
+		closed := u.closed
+		u.mu.Unlock()
+		if closed {
+			return
+		}
+		_, port, _ := net.SplitHostPort(u.addr)
+		listener, err := u.net.Host(u.host).Listen("x:" + port)
+		if err != nil {
+			u.ledger.Report(&Violation{Promise: UpstreamsOutlast, Subject: u.host, Detail: "not back: " + err.Error()})
+			return
+		}
+		u.serve(listener)
+	})
+}
+
+// Ends returns how often the upstream has ended under a call.
+func (u *Upstream) Ends() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ends
+}
+
 // Behave sets what the upstream does from now on. A behavior with a Count is
 // followed by the one before.
 func (u *Upstream) Behave(b Behavior) {
@@ -179,6 +239,9 @@
 		defer func() { k.w.Header().Set("X-End", k.call.trailer(k.operation.ID)) }()
 	}
 	switch k.behavior.Mode {
+	case End:
+		k.end()
+		panic(http.ErrAbortHandler)
 	case CrashAfter:
 		panic(http.ErrAbortHandler)
 	case Truncate:
