spec: a model of how counts of ended upstreams spread

Three nodes, one request, cause or innocent. Both are as wanted in the end; without stamps, or without the node that takes over telling, the checker finds an error.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -77,6 +77,9 @@
 check holds spread safety 'the same, with news of a version that nobody wrote' -DFAULTY
 check holds spread liveness 'who is in touch gets it and hears of it' -DLIVENESS
 check holds spread liveness 'nobody waits for a version that nobody wrote' -DLIVENESS -DFAULTY
+check holds quarantine liveness 'an innocent request is not held for ever' -DLIVENESS
+check holds quarantine liveness 'a cause is held by all in the end' -DLIVENESS -DCAUSE
+check holds quarantine liveness 'the same, and one node restarts' -DLIVENESS -DCAUSE -DRESTART
 
 # A bound of what is promised: this is known not to hold.
 check error restart safety 'clock set back: an earlier life may return for a while' -DCLOCK_BACK
@@ -131,6 +134,8 @@
 for safeguard in AGE TELL_STORED; do
 	lacks spread liveness $safeguard -DLIVENESS -DFAULTY
 done
+lacks quarantine liveness STAMP -DLIVENESS
+lacks quarantine liveness ADOPT -DLIVENESS -DCAUSE -DRESTART
 
 if [ $deviations -ne 0 ]; then
 	echo "$deviations deviations"
