--- a/cmd/pollengauge/soak/fatal_test.go
+++ b/cmd/pollengauge/soak/fatal_test.go
@@ -51,8 +51,7 @@
 func isFatal(path string) bool { return strings.Contains(path, fatalPart) }
 
 // fatalRequestsAreHeld: a request under which three upstreams have ended comes to few
-// more, once the VMs have had the time to learn of it. Sent by VMs that had a fault
-// lately, or while the store had one, it does not count.
+// more, from VMs that had no fault lately.
 func (j *judgement) fatalRequestsAreHeld() {
 	runs := make(map[string][]run)
 	for _, x := range j.runs {
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -116,9 +116,7 @@
 	})
 }
 
-// Guards against a request that goes on ending upstreams whose ends can't be told from
-// lost answers: they are back at once, do not name themselves, or stand behind what
-// accepts connections without them.
+// Guards against missing the ends of upstreams that look like lost answers.
 func TestUpstreamsThatAreBackAtOnceCount(t *testing.T) {
 	for _, kind := range []struct {
 		name               string
--- a/node/quarantine_trouble_test.go
+++ b/node/quarantine_trouble_test.go
@@ -53,9 +53,7 @@
 	},
 }
 
-// Guards against losing count of a request that ends upstreams while nodes restart, are
-// cut off, and upstreams end of themselves: after the third end under it, and a time for
-// the news to spread, it comes to few upstreams more.
+// Guards against losing count of a request that ends upstreams while other things fail.
 func TestHeldRequestStaysHeldUnderTrouble(t *testing.T) {
 	for name, happens := range troubles {
 		for seed := range uint64(2) {
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -50,9 +50,7 @@
 	c.Check(actions(l, start, 1, 2, 3), qt.DeepEquals, []quarantine.Action{quarantine.Run, quarantine.Run, quarantine.Run})
 }
 
-// Guards against holding back the innocent requests that run beside the cause: tens
-// of them come to the second upstream, and only those that were at the first as well
-// are in question; each of these is tried alone then.
+// Guards against holding back the innocent requests that run beside the cause.
 func TestInnocentsBesideTheCauseAreNotHeld(t *testing.T) {
 	c := qt.New(t)
 	const cause, both, fresh = 1, 2, 3
@@ -95,9 +93,7 @@
 	}
 }
 
-// Guards against holding back a popular read whose zone fails upstream by upstream: it
-// is sent on each time to one that is about to end. Ends that lie apart count, also for
-// a read that completed until lately.
+// Guards against holding back a popular read whose zone fails upstream by upstream.
 func TestPopularReadIsNotHeldForAZoneThatFails(t *testing.T) {
 	c := qt.New(t)
 	const popular = 7
