--- a/config/store.go
+++ b/config/store.go
@@ -126,7 +126,7 @@
 	if next.compiled.Version() < now.compiled.Version() {
 		return false, nil
 	}
-	if next.compiled.Version() == now.compiled.Version() {
+	if next.compiled.Version() == now.compiled.Version() && !firstStored(now, next) {
 		return false, forked(now, next)
 	}
 	s.current.Store(next)
@@ -136,6 +136,12 @@
 	return true, nil
 }
 
+// firstStored tells whether next is what operators stored as version 0, in place of
+// the embedded default.
+func firstStored(now, next *accepted) bool {
+	return now.source == SourceDefault && next.source == SourcePlatform
+}
+
 func forked(now, next *accepted) error {
 	// Version 0 is each build's own default and makes no claim.
 	if now.compiled.hash == next.compiled.hash || now.compiled.Version() == 0 {
