--- a/call/context.go
+++ b/call/context.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 )
@@ -108,6 +109,9 @@
 	// MaxProgress is where the count of calls that have run stops.
 	MaxProgress = 64
 
+	// MaxOriginLength is the longest Context.Origin, in bytes.
+	MaxOriginLength = 1024
+
 	// maxNameLength is the longest name of a profile, service or reason, in
 	// bytes.
 	maxNameLength = 63
@@ -176,7 +180,7 @@
 	h.Set(HeaderCredit, strconv.Itoa(c.Credit))
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	setOptional(h, HeaderHost, c.Host)
-	setOptional(h, HeaderOrigin, c.Origin)
+	setOptional(h, HeaderOrigin, url.PathEscape(c.Origin))
 	setOptionalNumber(h, HeaderProgress, c.Progress)
 	setOptionalNumber(h, HeaderHeldBack, min(c.HeldBack, maxPressure))
 	setOptionalNumber(h, HeaderRepeat, flag(c.Repeat))
@@ -250,7 +254,7 @@
 	if c.Host, err = optionalToken(h, HeaderHost, maxHostLength); err != nil {
 		return Context{}, err
 	}
-	if c.Origin, err = optionalToken(h, HeaderOrigin, maxNameLength); err != nil {
+	if c.Origin, err = optionalText(h, HeaderOrigin, MaxOriginLength); err != nil {
 		return Context{}, err
 	}
 	c.Level = Level(level)
@@ -371,6 +375,21 @@
 	return token(h, name, limit)
 }
 
+// optionalText reads a header that may be absent and whose value is escaped as a part
+// of a path: names that others choose may hold what no header can.
+func optionalText(h http.Header, name string, limit int) (string, error) {
+	const escaped = 3
+	value, err := optionalToken(h, name, limit*escaped)
+	if err != nil {
+		return "", err
+	}
+	text, err := url.PathUnescape(value)
+	if err != nil || len(text) > limit {
+		return "", &HeaderError{Header: name, Value: value, Want: "at most " + strconv.Itoa(limit) + " bytes, escaped"}
+	}
+	return text, nil
+}
+
 // ValidToken reports whether s is 1 to limit visible ASCII characters.
 func ValidToken(s string, limit int) bool {
 	if s == "" || len(s) > limit {
--- /dev/null
+++ b/call/service.go
@@ -0,0 +1,42 @@
+package call
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+)
+
+// MaxServiceToken is the longest ServiceToken, in bytes.
+const MaxServiceToken = 63
+
+// ServiceToken returns the form of a service's name that goes between nodes, as the
+// Host of a call and in the membership: 1 to 63 letters, digits and -._~. A name that
+// is of this form is its own token. Any other is its usable letters and a hash of it
+// all, so that equal names have equal tokens at every node. "" stays "".
+func ServiceToken(name string) string {
+	if name == "" || isServiceToken(name) {
+		return name
+	}
+	const mark, hex, digits = "~~", 16, 16
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	sum := strconv.FormatUint(hash.Sum64(), hex)
+	tail := mark + strings.Repeat("0", digits-len(sum)) + sum
+	usable := strings.Map(func(r rune) rune {
+		if isUnreserved(r) {
+			return r
+		}
+		return '-'
+	}, name)
+	return usable[:min(len(usable), MaxServiceToken-len(tail))] + tail
+}
+
+func isServiceToken(s string) bool {
+	return len(s) <= MaxServiceToken && !strings.ContainsFunc(s, func(r rune) bool { return !isUnreserved(r) })
+}
+
+// isUnreserved reports whether r may stand in a Host as it is (RFC 3986, 2.3).
+func isUnreserved(r rune) bool {
+	letter := (r|0x20) >= 'a' && (r|0x20) <= 'z'
+	return letter || (r >= '0' && r <= '9') || strings.ContainsRune("-._~", r)
+}
--- a/node/names.go
+++ b/node/names.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"unicode"
 
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
@@ -41,8 +42,8 @@
 		c.name("region", s.Region)
 		return
 	}
-	if !isHostName(s.Service) {
-		c.add("service", strconv.Quote(s.Service), "1 to 63 of letters, digits and -._~")
+	if s.Service == "" || len(s.Service) > call.MaxOriginLength || strings.ContainsFunc(s.Service, unicode.IsControl) {
+		c.add("service", strconv.Quote(s.Service), "1 to "+strconv.Itoa(call.MaxOriginLength)+" bytes without control characters")
 	}
 	for _, place := range []struct{ name, value string }{{"zone", s.Zone}, {"region", s.Region}} {
 		if !call.ValidToken(place.value, maxName) {
@@ -59,12 +60,3 @@
 	}
 	return n.settings.Service
 }
-
-// isHostName reports whether a service of that name can be the Host of a call
-// between nodes: unreserved characters (RFC 3986, 2.3).
-func isHostName(s string) bool {
-	return call.ValidToken(s, maxName) && !strings.ContainsFunc(s, func(r rune) bool {
-		letter := (r|0x20) >= 'a' && (r|0x20) <= 'z'
-		return !letter && (r < '0' || r > '9') && !strings.ContainsRune("-._~", r)
-	})
-}
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 
 	"pollengauge.dev/admission"
 	"pollengauge.dev/atmostonce"
+	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
@@ -27,9 +28,12 @@
 // Node is one running process of the system. New makes it, Start opens its
 // listeners, Drain ends it gracefully, Close at once.
 type Node struct {
+	// settings have the service as nodes name it to each other.
 	settings Settings
-	id       string
-	network  Network
+	// origin is the service as the operators name it.
+	origin  string
+	id      string
+	network Network
 	// between is the network to and from other nodes; tls is nil without TLS.
 	between Network
 	tls     *secure.Source
@@ -126,8 +130,13 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
+	origin := settings.Service
+	if settings.Dialect != nil {
+		settings.Service = call.ServiceToken(origin)
+	}
 	n := &Node{
 		settings:  settings,
+		origin:    origin,
 		config:    config.NewStore(),
 		ring:      observe.NewRing(settings.Lookback),
 		listeners: make(map[Listener]net.Listener),
--- a/node/routed.go
+++ b/node/routed.go
@@ -104,7 +104,7 @@
 	if route == nil {
 		return nil, n.refuseUnrouted(current.Version())
 	}
-	service := pickShare(route.Shares, rand.Uint64())
+	service := call.ServiceToken(pickShare(route.Shares, rand.Uint64()))
 	if service == "" {
 		// The route is there, so its callers may come back; operators have yet
 		// to name who serves it.
@@ -128,7 +128,7 @@
 		Timeout:   timeout,
 		Credit:    profile.Credit,
 		Host:      r.Host,
-		Origin:    n.settings.Service,
+		Origin:    n.origin,
 	}
 	req.call.Level = drawLevel(profile, rand.Uint64())
 	req.span = n.startSpan(r.Header)
--- a/node/settings.go
+++ b/node/settings.go
@@ -16,8 +16,8 @@
 // assignments) lives in the platform instead.
 type Settings struct {
 	// Service is the service whose upstream runs on this VM, 1 to 63 of
-	// [a-z0-9-], with a Dialect of letters, digits and -._~. Calls from other
-	// services name it.
+	// [a-z0-9-], with a Dialect any text of up to 1024 bytes without control
+	// characters. Calls from other services name it.
 	Service string
 	// Zone is this VM's availability zone and Region its region. Routing
 	// stays inside the zone first, then inside the region.
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
 )
 
@@ -81,6 +82,9 @@
 // transport is kept while the address, the bound and the incarnation stay the
 // same, so that announcing again drops no connection.
 func (n *Node) Announce(a Announcement) error {
+	if n.spoken() {
+		a.Service = call.ServiceToken(a.Service)
+	}
 	if err := a.check(n.settings.Service); err != nil {
 		return err
 	}
