customer, config, platform, node: callers send the keys of customers

Cause: keys and customers were unknown here.

Configurations hold digests alone, so no key goes to a peer, a log, the platform's history or a status page. A request without a key of a customer gets 401, or 503 where a later configuration may have it; the upstream is told the customer's name whatever the caller sent; attempts ask again whether the key is still held; calls of a run need none. A customer's priority goes before that of the profile.

Open: limits are read and not yet enforced.

--- a/bench/experiment/play/dialect.go
+++ b/bench/experiment/play/dialect.go
@@ -49,6 +49,9 @@
 
 func formatMillis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
+// OwnHeaders implements node.Dialect.
+func (dialect) OwnHeaders() []string { return nil }
+
 // ParentOf implements node.Dialect.
 func (dialect) ParentOf(id string) string {
 	return id[:max(strings.LastIndex(id, idSeparator), 0)]
--- a/call/context.go
+++ b/call/context.go
@@ -47,6 +47,11 @@
 	// HeaderOrigin, between nodes, is the service on the VM where the request
 	// entered the system.
 	HeaderOrigin = "Pollengauge-Origin"
+	// HeaderCustomer is the name of the customer whose request it is, between nodes
+	// escaped as a part of a path. It is absent where there is none.
+	HeaderCustomer = "Pollengauge-Customer"
+	// HeaderAPIKey is where callers send the key of their customer.
+	HeaderAPIKey = "X-Api-Key"
 	// HeaderIdempotencyKey is the published name of a caller's key.
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderTraceParent is W3C trace context.
@@ -88,7 +93,7 @@
 // other, and their upstreams in the project's own interface.
 var NodeHeaders = []string{
 	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat, HeaderEnds,
-	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin,
+	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin, HeaderCustomer,
 	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderEndsStamp, HeaderStale,
 }
 
@@ -115,6 +120,8 @@
 	// maxNameLength is the longest name of a profile, service or reason, in
 	// bytes.
 	maxNameLength = 63
+	// maxCustomerLength is the longest name of a customer, in bytes.
+	maxCustomerLength = 256
 	// maxHostLength is the longest Host: a name (RFC 1035) and a port.
 	maxHostLength = 253 + 6
 	// maxDigits keeps every number read from a header far from overflow.
@@ -166,6 +173,9 @@
 	// Origin is the service on the VM where the request entered the system,
 	// "" where nobody has to be told.
 	Origin string
+	// Customer is the name of the customer whose request it is, "" for a call and
+	// where there is none.
+	Customer string
 }
 
 // Inject writes c to h, replacing what was there.
@@ -181,6 +191,7 @@
 	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
 	setOptional(h, HeaderHost, c.Host)
 	setOptional(h, HeaderOrigin, url.PathEscape(c.Origin))
+	setOptional(h, HeaderCustomer, url.PathEscape(c.Customer))
 	setOptionalNumber(h, HeaderProgress, c.Progress)
 	setOptionalNumber(h, HeaderHeldBack, min(c.HeldBack, maxPressure))
 	setOptionalNumber(h, HeaderRepeat, flag(c.Repeat))
@@ -257,6 +268,9 @@
 	if c.Origin, err = optionalText(h, HeaderOrigin, MaxOriginLength); err != nil {
 		return Context{}, err
 	}
+	if c.Customer, err = optionalText(h, HeaderCustomer, maxCustomerLength); err != nil {
+		return Context{}, err
+	}
 	c.Level = Level(level)
 	c.Repeat = repeat == 1
 	c.Timeout = time.Duration(timeout) * time.Millisecond
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -117,6 +117,13 @@
 	ReasonPeerFull Reason = "peer-full"
 	// ReasonBusy: the node itself has too little processor for what comes.
 	ReasonBusy Reason = "busy"
+	// ReasonUnauthorized: the caller sent no key, or one that no customer has.
+	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonQuota: the customer's requests have reached its limit.
+	ReasonQuota Reason = "quota"
+	// ReasonQuotaUnknown: whether the customer's requests have reached its limit can't
+	// be told, since the members that count them don't answer.
+	ReasonQuotaUnknown Reason = "quota-unknown"
 	// ReasonNoConfig: the node knows no configuration yet.
 	ReasonNoConfig Reason = "no-config"
 	// ReasonConfigBehind: no route has the request's host and path here, and a
--- a/config/compiled.go
+++ b/config/compiled.go
@@ -3,17 +3,21 @@
 import (
 	"path"
 	"strings"
+
+	"pollengauge.dev/customer"
 )
 
 // Compiled is a Set prepared for lookups on each call. It is immutable.
 type Compiled struct {
-	set      Set
-	hash     string
-	byName   map[string]*Profile
-	fallback *Profile
-	services map[string]*rules
-	any      *rules
-	routes   routes
+	set        Set
+	hash       string
+	byName     map[string]*Profile
+	fallback   *Profile
+	services   map[string]*rules
+	any        *rules
+	routes     routes
+	customers  *customer.Directory
+	priorities priorities
 }
 
 // rules are the assignments of one service.
@@ -57,6 +61,8 @@
 	c.any = c.services[AnyService]
 	delete(c.services, AnyService)
 	c.routes = compileRoutes(s.Routes)
+	c.customers = customer.NewDirectory(s.Customers)
+	c.priorities = joinPriorities(s.Customers, s.Profiles)
 	return c
 }
 
@@ -172,5 +178,6 @@
 	for i := range s.Routes {
 		s.Routes[i] = s.Routes[i].clone()
 	}
+	s.Customers = cloneCustomers(s.Customers)
 	return s
 }
--- a/config/diff.go
+++ b/config/diff.go
@@ -56,6 +56,7 @@
 	out = diffItems(out, profileItems(a), profileItems(b))
 	out = diffItems(out, assignmentItems(a), assignmentItems(b))
 	out = diffItems(out, routeItems(a), routeItems(b))
+	out = diffItems(out, customerItems(a), customerItems(b))
 	return diffItems(out, limitItems(a), limitItems(b))
 }
 
@@ -122,6 +123,7 @@
 	return []field{
 		{"priority", strconv.Itoa(p.Priority)},
 		{"internal", strconv.FormatBool(p.Internal)},
+		{"public", strconv.FormatBool(p.Public)},
 		{"unrepeatable", strconv.FormatBool(p.Unrepeatable)},
 		{"key", string(p.Key)},
 		{"record", string(p.Record)},
--- a/config/encode.go
+++ b/config/encode.go
@@ -74,7 +74,7 @@
 
 // ContentHash identifies what s decides, without version, author and time.
 func (s Set) ContentHash() (string, error) {
-	content := Set{Profiles: s.Profiles, Assignments: s.Assignments, Routes: s.Routes, Limits: s.Limits}
+	content := Set{Profiles: s.Profiles, Assignments: s.Assignments, Routes: s.Routes, Customers: s.Customers, Limits: s.Limits}
 	data, err := marshal(content)
 	if err != nil {
 		return "", err
--- a/config/example_test.go
+++ b/config/example_test.go
@@ -42,8 +42,8 @@
 	// true <nil> 1
 	// filing
 	// ~ profiles[default].priority: 4 -> 2
-	// + profiles[filing]: priority=15 internal=false unrepeatable=true key=optional record=none deadline=30s target=0s maxWait=3s credit=2 brownout.maxAge=0s brownout.vary= prefer=goodput callerHeader=
-	// - profiles[default-write]: priority=12 internal=false unrepeatable=true key=optional record=none deadline=15s target=0s maxWait=3s credit=2 brownout.maxAge=0s brownout.vary= prefer=goodput callerHeader=
+	// + profiles[filing]: priority=15 internal=false public=false unrepeatable=true key=optional record=none deadline=30s target=0s maxWait=3s credit=2 brownout.maxAge=0s brownout.vary= prefer=goodput callerHeader=
+	// - profiles[default-write]: priority=12 internal=false public=false unrepeatable=true key=optional record=none deadline=15s target=0s maxWait=3s credit=2 brownout.maxAge=0s brownout.vary= prefer=goodput callerHeader=
 	// + assignments[filing POST /filings]: profile=filing
 	// - assignments[* POST]: profile=default-write
 	// - assignments[* PUT]: profile=default-write
--- a/config/parse.go
+++ b/config/parse.go
@@ -4,6 +4,8 @@
 	"strconv"
 
 	"go.yaml.in/yaml/v3"
+
+	"pollengauge.dev/customer"
 )
 
 // Format is the syntax of a file.
@@ -67,6 +69,9 @@
 		"routes": func(n *yaml.Node, at string) error {
 			return readList(n, at, MaxRoutes, &s.Routes, readRoute)
 		},
+		"customers": func(n *yaml.Node, at string) error {
+			return readList(n, at, customer.MaxCustomers, &s.Customers, readCustomer)
+		},
 		"limits": func(n *yaml.Node, at string) error { return readLimits(n, at, &s.Limits) },
 	}, "profiles")
 	return err
@@ -119,6 +124,7 @@
 		"name":         func(n *yaml.Node, at string) error { return readString(n, at, &p.Name) },
 		"priority":     func(n *yaml.Node, at string) error { return readInt(n, at, &p.Priority) },
 		"internal":     func(n *yaml.Node, at string) error { return readBool(n, at, &p.Internal) },
+		"public":       func(n *yaml.Node, at string) error { return readBool(n, at, &p.Public) },
 		"unrepeatable": func(n *yaml.Node, at string) error { return readBool(n, at, &p.Unrepeatable) },
 		"key":          func(n *yaml.Node, at string) error { return readString(n, at, &p.Key) },
 		"record":       func(n *yaml.Node, at string) error { return readString(n, at, &p.Record) },
--- a/config/set.go
+++ b/config/set.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pollengauge.dev/customer"
 )
 
 // DefaultProfileName is the profile of calls that no assignment matches.
@@ -30,6 +32,11 @@
 	// profiles rank below unrepeatable ones.
 	Internal bool `json:"internal,omitempty" yaml:"internal,omitempty"`
 
+	// Public lets callers in without the key of a customer. It opens the profile to
+	// anybody who reaches a node, and its requests count towards no limit unless they
+	// bring a key.
+	Public bool `json:"public,omitempty" yaml:"public,omitempty"`
+
 	// Unrepeatable marks work that must run at most once. It is tried again
 	// only after a proof that it did not run, so under faults more calls end
 	// with an unknown fate than with repeatable profiles.
@@ -150,9 +157,16 @@
 	// Routes may be in any order, as the longest prefix wins. They are for
 	// deployments whose callers name hosts and paths instead of services.
 	Routes []Route `json:"routes,omitempty" yaml:"routes,omitempty"`
+	// Customers are told apart by name. Where there is one, callers must send the key
+	// of one, but for calls whose profile is Public.
+	Customers []customer.Customer `json:"customers,omitempty" yaml:"customers,omitempty"`
 	// Limits hold for all profiles together.
 	Limits Limits `json:"limits" yaml:"limits"`
 
+	// CustomersMissing tells that there are customers that could not be read. A key
+	// that is not known may then be theirs. A file of this project can't set it.
+	CustomersMissing bool `json:"customersMissing,omitempty" yaml:"-"`
+
 	// AnyOrder lifts the rule that unrepeatable profiles rank above repeatable
 	// ones. A file of this project can't set it: it is for sets translated from
 	// another interface, whose operators' ranks are the order, whatever they are.
--- a/config/validate.go
+++ b/config/validate.go
@@ -78,6 +78,7 @@
 	}
 	v.assignments(s)
 	v.routes(s)
+	v.customers(s)
 	v.limits(s.Limits)
 	if submitted && len(v.problems) == 0 {
 		v.size(s)
--- /dev/null
+++ b/customer/customer.go
@@ -0,0 +1,98 @@
+package customer
+
+import (
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Customer is one customer as operators define it.
+type Customer struct {
+	// Name is what the upstream is told, 1 to 256 bytes of text.
+	Name string `json:"name" yaml:"name"`
+	// Keys are the digests of the keys that its callers may send. A customer
+	// without any can't call.
+	Keys []Digest `json:"keyDigests" yaml:"keyDigests"`
+	// Priority goes before that of the profile in the shed order: 0 is shed first,
+	// 15 last.
+	Priority int `json:"priority" yaml:"priority"`
+	// Rate is how many requests a second all nodes together send on for it, and
+	// Burst how many may come at once on top. A Rate of 0 is no limit.
+	Rate  float64 `json:"rate,omitempty" yaml:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty" yaml:"burst,omitempty"`
+}
+
+// Bounds of a Customer.
+const (
+	MaxNameLength = 256
+	MaxPriority   = 15
+	// MaxRate and MaxBurst keep sums over time far from overflow.
+	MaxRate  = 1e9
+	MaxBurst = 1e9
+	// MaxKeys is the most keys of one customer that operators may submit, and
+	// MaxCustomers the most customers.
+	MaxKeys      = 100
+	MaxCustomers = 20_000
+)
+
+// Limited reports whether the customer's requests are counted.
+func (c *Customer) Limited() bool { return c != nil && c.Rate > 0 }
+
+// Validate checks a list that operators submit, as a whole, and returns every
+// problem with it.
+func Validate(list []Customer) []*Error {
+	v := validator{names: make(map[string]bool, len(list)), holders: make(map[Digest]bool)}
+	if len(list) > MaxCustomers {
+		v.add(-1, strconv.Itoa(len(list)), "customers", "at most "+strconv.Itoa(MaxCustomers))
+	}
+	for i := range list {
+		v.customer(&list[i], i)
+	}
+	return v.problems
+}
+
+type validator struct {
+	names    map[string]bool
+	holders  map[Digest]bool
+	problems []*Error
+}
+
+func (v *validator) add(place int, customer, field, want string) {
+	v.problems = append(v.problems, &Error{Place: place, Customer: customer, Field: field, Want: want})
+}
+
+func (v *validator) customer(c *Customer, place int) {
+	shown := strconv.Quote(c.Name)
+	if !ValidName(c.Name) {
+		shown = "number " + strconv.Itoa(place+1)
+		v.add(place, shown, "name", "1 to 256 bytes of text without control characters or spaces at an end")
+	} else if v.names[c.Name] {
+		v.add(place, shown, "name", "a name that no other customer has")
+	}
+	v.names[c.Name] = true
+	if len(c.Keys) > MaxKeys {
+		v.add(place, shown, "keyDigests", "at most "+strconv.Itoa(MaxKeys))
+	}
+	for i, key := range c.Keys {
+		if v.holders[key] {
+			v.add(place, shown, "keyDigests["+strconv.Itoa(i)+"]", "a key that stands nowhere else in the list")
+		}
+		v.holders[key] = true
+	}
+	if c.Priority < 0 || c.Priority > MaxPriority {
+		v.add(place, shown, "priority", "0 to 15")
+	}
+	if !(c.Rate >= 0 && c.Rate <= MaxRate) {
+		v.add(place, shown, "rate", "0 to 1e9 requests a second")
+	}
+	if !(c.Burst >= 0 && c.Burst <= MaxBurst) {
+		v.add(place, shown, "burst", "0 to 1e9 requests")
+	}
+}
+
+// ValidName reports whether s can name a customer, and be told in a header.
+func ValidName(s string) bool {
+	return s != "" && len(s) <= MaxNameLength && utf8.ValidString(s) &&
+		!strings.ContainsFunc(s, unicode.IsControl) && strings.TrimSpace(s) == s
+}
--- /dev/null
+++ b/customer/directory.go
@@ -0,0 +1,39 @@
+package customer
+
+// Directory finds customers. It is immutable and may be used concurrently.
+type Directory struct {
+	byKey  map[Digest]*Customer
+	byName map[string]*Customer
+}
+
+// NewDirectory returns a Directory of a list, which must not be changed afterwards.
+// Of two customers with one key, or with one name, the first in the list holds it.
+func NewDirectory(list []Customer) *Directory {
+	keys := 0
+	for i := range list {
+		keys += len(list[i].Keys)
+	}
+	d := &Directory{byKey: make(map[Digest]*Customer, keys), byName: make(map[string]*Customer, len(list))}
+	for i := range list {
+		c := &list[i]
+		if _, taken := d.byName[c.Name]; taken {
+			continue
+		}
+		d.byName[c.Name] = c
+		for _, key := range c.Keys {
+			if _, taken := d.byKey[key]; !taken {
+				d.byKey[key] = c
+			}
+		}
+	}
+	return d
+}
+
+// Empty reports whether there are no customers: nobody needs a key then.
+func (d *Directory) Empty() bool { return len(d.byName) == 0 }
+
+// Holder returns the customer that holds a key, nil if none does.
+func (d *Directory) Holder(key Digest) *Customer { return d.byKey[key] }
+
+// Named returns the customer of a name, nil if there is none.
+func (d *Directory) Named(name string) *Customer { return d.byName[name] }
--- /dev/null
+++ b/customer/key.go
@@ -0,0 +1,32 @@
+package customer
+
+import "net/http"
+
+// Key is what a caller sent to say who it is. It holds no secret. The zero Key is
+// that of a caller that sent none.
+type Key struct {
+	digest Digest
+	sent   bool
+	known  bool
+}
+
+// ReadKey reads a key from a header. An empty one, or more than one, can't be any
+// customer's.
+func ReadKey(h http.Header, name string) Key {
+	values := h[name]
+	if len(values) != 1 || values[0] == "" {
+		return Key{sent: len(values) > 0}
+	}
+	return Key{digest: DigestOf(values[0]), sent: true, known: true}
+}
+
+// Sent reports whether the caller sent the header at all.
+func (k Key) Sent() bool { return k.sent }
+
+// Owner returns the customer of a key, nil if there is none.
+func (d *Directory) Owner(k Key) *Customer {
+	if !k.known {
+		return nil
+	}
+	return d.byKey[k.digest]
+}
--- a/node/ahead.go
+++ b/node/ahead.go
@@ -116,7 +116,7 @@
 			return nil
 		}
 		var err error
-		if req, err = n.rootRequest(nil, r, n.settings.Service); err != nil {
+		if req, err = n.rootRequest(nil, r, n.settings.Service, false); err != nil {
 			return nil
 		}
 	}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -21,6 +21,9 @@
 		return out
 	}
 	out.Host = req.service
+	if req.call.Customer != "" {
+		out.Header.Set(call.HeaderCustomer, req.call.Customer)
+	}
 	setFields(out.Header,
 		field{call.HeaderRequest, req.call.RequestID},
 		field{call.HeaderVisit, v.id},
@@ -35,6 +38,7 @@
 	return UpstreamRequest{
 		ID:       req.call.RequestID,
 		Origin:   req.call.Origin,
+		Customer: req.call.Customer,
 		Instance: up.Instance,
 		Timeout:  req.deadline.Sub(n.now()),
 	}
@@ -54,8 +58,8 @@
 
 // How many headers a request to the upstream and one to a node gets as a rule.
 const (
-	upstreamFields = 5
-	peerFields     = 9
+	upstreamFields = 6
+	peerFields     = 10
 )
 
 // outgoing copies the parts of req that every attempt sends, with room for
--- /dev/null
+++ b/node/customers_test.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/call"
+	"pollengauge.dev/config"
+	"pollengauge.dev/customer"
+)
+
+// withCustomers is routedSet, or another set, with two customers, of which the second
+// goes before the first, and a public profile.
+func withCustomers(c *qt.C, text string, version uint64) config.Set {
+	set, err := config.Parse([]byte(text), config.YAML)
+	c.Assert(err, qt.IsNil)
+	set.Version = version
+	set.Customers = []customer.Customer{
+		{Name: "ház & kert", Keys: []customer.Digest{customer.DigestOf("key-one"), customer.DigestOf("key-two")}},
+		{Name: "city", Priority: 1, Keys: []customer.Digest{customer.DigestOf("key-city")}},
+	}
+	return set
+}
+
+// tellCustomer answers with what the upstream was told.
+func tellCustomer(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+	w.Header().Set("X-Echo", r.Header.Get("X-Id"))
+	_, _ = io.WriteString(w, r.Header.Get("X-Customer")+"|"+r.Header.Get("X-Key")+r.Trailer.Get("X-Key"))
+}
+
+// Callers send keys, good and bad, and claim to be others. Each request runs under the
+// name of the customer whose key it brings, or not at all; no key goes further than the
+// node where it came in.
+func TestRequestsRunForTheHolderOfTheirKey(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "front", 10, echo)
+		desk := f.addRouted("desk", "desk", 10, tellCustomer)
+		f.settle()
+		f.c.Check(f.askRouted(front, "/browse/x", "before", "X-Customer", "city").body, qt.Equals, "|", qt.Commentf("nobody has a key yet"))
+		for _, n := range []*Node{front, desk} {
+			f.c.Assert(n.OfferConfig(withCustomers(f.c, routedSet, 2)), qt.IsNil)
+		}
+		for key, want := range map[string]string{"key-one": "ház & kert|", "key-two": "ház & kert|", "key-city": "city|"} {
+			got := f.askRouted(front, "/browse/x", "id-"+key, "X-Key", key, "X-Customer", "somebody")
+			f.c.Check(got.status, qt.Equals, http.StatusOK, qt.Commentf("%s %s", key, got.reason))
+			f.c.Check(got.body, qt.Equals, want)
+		}
+		for _, key := range []string{"", "key-on", "key-one ", "KEY-ONE", "key-one\x00"} {
+			got := f.askRouted(front, "/browse/x", "bad", "X-Key", strings.TrimSuffix(key, "\x00"), "X-Customer", "city")
+			if key == "key-one " || key == "key-one\x00" {
+				continue // net/http takes the space off, and can't send the other
+			}
+			f.c.Check(got.status, qt.Equals, http.StatusUnauthorized, qt.Commentf("%q", key))
+			f.c.Check(got.reason, qt.Equals, string(call.ReasonUnauthorized))
+		}
+		f.c.Check(f.askRouted(front, "/browse/x", "none").status, qt.Equals, http.StatusUnauthorized)
+		f.c.Check(f.askRouted(front, "/browse/x", "gone/1").status, qt.Equals, http.StatusUnauthorized, qt.Commentf("the id of a call whose run is not here"))
+		two := f.askTwoKeys(front)
+		f.c.Check(two, qt.Equals, http.StatusUnauthorized)
+	})
+}
+
+// askTwoKeys sends two keys with one request.
+func (f *fleet) askTwoKeys(to *Node) int {
+	text := "GET /browse/x HTTP/1.1\r\nHost: desk.example\r\nX-Id: two\r\nX-Key: key-one\r\nX-Key: key-city\r\nConnection: close\r\n\r\n"
+	return f.raw(to, OutboundListener, text).StatusCode
+}
+
+// A key that no customer has is refused for good only where no later configuration is
+// known of, which may have it.
+func TestUnknownKeysMayBeThoseOfALaterConfiguration(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "desk", 10, tellCustomer)
+		f.c.Assert(front.OfferConfig(withCustomers(f.c, routedSet, 2)), qt.IsNil)
+		ask := func() int { return f.askRouted(front, "/browse/x", "id", "X-Key", "key-new").status }
+		f.c.Check(ask(), qt.Equals, http.StatusUnauthorized)
+		front.config.Hear(9, front.now(), front.now())
+		f.c.Check(ask(), qt.Equals, http.StatusServiceUnavailable)
+		set := withCustomers(f.c, routedSet, 9)
+		set.CustomersMissing = true
+		f.c.Assert(front.OfferConfig(set), qt.IsNil)
+		f.c.Check(ask(), qt.Equals, http.StatusServiceUnavailable, qt.Commentf("a customer could not be read"))
+		f.c.Check(f.askRouted(front, "/browse/x", "id", "X-Key", "key-one").status, qt.Equals, http.StatusOK)
+	})
+}
+
+// A request is tried again after its key was taken away. It must not run any more.
+func TestNothingRunsAgainOnceItsKeyIsGone(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		front := f.addRouted("front", "front", 10, echo)
+		runs := 0
+		failing := func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			runs++
+			if runs == 1 {
+				set := withCustomers(f.c, routedSet, 3)
+				set.Customers = set.Customers[1:]
+				f.c.Check(front.OfferConfig(set), qt.IsNil)
+			}
+			w.Header().Set("X-Echo", r.Header.Get("X-Id"))
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		f.addRouted("one", "desk", 10, failing)
+		f.addRouted("two", "desk", 10, failing)
+		f.settle()
+		f.c.Assert(front.OfferConfig(withCustomers(f.c, routedSet, 2)), qt.IsNil)
+		for range 100 {
+			front.retriesOf("desk").bound.OnFirst(front.now())
+		}
+		got := f.askRouted(front, "/browse/x", "id", "X-Key", "key-one")
+		f.c.Check(got.status, qt.Equals, http.StatusUnauthorized)
+		f.c.Check(runs, qt.Equals, 1)
+	})
+}
+
+// The upstream calls out for a request that it serves, and has no key of its own.
+func TestCallsOfARunNeedNoKey(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		var front *Node
+		calls := func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			below := f.askRouted(front, "/browse/x", r.Header.Get("X-Id")+"/1")
+			w.Header().Set("X-Echo", r.Header.Get("X-Id"))
+			w.WriteHeader(below.status)
+			_, _ = io.WriteString(w, below.body)
+		}
+		front = f.addRouted("front", "front", 10, calls)
+		f.addRouted("desk", "desk", 10, tellCustomer)
+		f.settle()
+		text := strings.Replace(routedSet, "shares: [{service: desk, weight: 1}]}\n  - {name: file", "shares: [{service: desk, weight: 1}]}\n  - {name: start, host: desk.example, pathPrefix: /start/, profile: read, shares: [{service: front, weight: 1}]}\n  - {name: file", 1)
+		for _, n := range f.nodes {
+			f.c.Assert(n.OfferConfig(withCustomers(f.c, text, 2)), qt.IsNil)
+		}
+		got := f.askRouted(front, "/start/x", "root", "X-Key", "key-city")
+		f.c.Check(got.status, qt.Equals, http.StatusOK)
+		f.c.Check(got.body, qt.Equals, "|", qt.Commentf("a call is no request of a customer"))
+		time.Sleep(time.Second)
+		f.c.Check(f.askRouted(front, "/browse/x", "root/2").status, qt.Equals, http.StatusUnauthorized, qt.Commentf("the run has ended"))
+	})
+}
+
+// A customer's priority goes before that of the profile.
+func TestCustomersPrioritiesGoFirst(t *testing.T) {
+	c := qt.New(t)
+	compiled, err := config.Compile(withCustomers(c, routedSet, 2))
+	c.Assert(err, qt.IsNil)
+	one, city := compiled.Customers().Named("ház & kert"), compiled.Customers().Named("city")
+	order := []call.Priority{
+		compiled.PriorityFor(one, compiled.Profile("default")),
+		compiled.PriorityFor(one, compiled.Profile("read")),
+		compiled.PriorityFor(one, compiled.Profile("write")),
+		compiled.PriorityFor(city, compiled.Profile("default")),
+		compiled.PriorityFor(city, compiled.Profile("read")),
+		compiled.PriorityFor(city, compiled.Profile("write")),
+	}
+	for i := 1; i < len(order); i++ {
+		c.Check(order[i] > order[i-1], qt.IsTrue, qt.Commentf("%v", order))
+	}
+	c.Check(compiled.PriorityFor(nil, compiled.Profile("write")), qt.Equals, order[2])
+}
+
+// With the project's own interface keys work alike, under its own names.
+func TestKeysOfTheOwnInterface(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.add("n", "desk", 10, func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			_, _ = io.WriteString(w, r.Header.Get(call.HeaderCustomer)+"|"+r.Header.Get(call.HeaderAPIKey))
+		})
+		f.settle()
+		f.c.Check(f.ask(n, http.MethodGet, "/x", call.HeaderAPIKey, "its own").body, qt.Equals, "|its own", qt.Commentf("without customers the header is the upstream's"))
+		set := withCustomers(f.c, "profiles:\n  - {name: default, priority: 3}\n  - {name: open, priority: 2, public: true}\nassignments:\n  - {service: desk, pathPrefix: /open, profile: open}\n", 2)
+		f.c.Assert(n.OfferConfig(set), qt.IsNil)
+		f.c.Check(f.ask(n, http.MethodGet, "/x", call.HeaderAPIKey, "key-city", call.HeaderCustomer, "other").body, qt.Equals, "city|")
+		f.c.Check(f.ask(n, http.MethodGet, "/x", call.HeaderAPIKey, "nobody's").status, qt.Equals, http.StatusUnauthorized)
+		f.c.Check(f.ask(n, http.MethodGet, "/x").status, qt.Equals, http.StatusUnauthorized)
+		f.c.Check(f.ask(n, http.MethodGet, "/open/x").body, qt.Equals, "|")
+	})
+}
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -6,6 +6,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/customer"
 )
 
 // Dialect is how callers and the upstream on this VM speak to the node where
@@ -16,6 +17,9 @@
 type Dialect interface {
 	// ReadCaller reads what a caller tells of its request.
 	ReadCaller(h http.Header) (CallerRequest, error)
+	// OwnHeaders are the canonical names of headers that are never passed on as they
+	// came: those that the dialect sets, and the one with the caller's key.
+	OwnHeaders() []string
 	// ParentOf returns the id of the request that a call with this id is made
 	// for, "" where the id does not tell. It is a hint: a call whose parent
 	// isn't found is treated by its own route.
@@ -38,6 +42,8 @@
 	ID string
 	// Timeout is how long the caller will wait, 0 if it does not say.
 	Timeout time.Duration
+	// Key tells whose request it is.
+	Key customer.Key
 }
 
 // UpstreamRequest is what the upstream is told of a request.
@@ -45,6 +51,9 @@
 	ID string
 	// Origin is the service on the VM where the request entered the system.
 	Origin string
+	// Customer is the name of the customer whose request it is, "" for a call of an
+	// upstream and where there is none.
+	Customer string
 	// Instance is the incarnation of the upstream that is meant, "" for any.
 	Instance string
 	// Timeout is what is left until the request's deadline.
@@ -86,4 +95,7 @@
 	for _, name := range call.NodeHeaders {
 		delete(h, name)
 	}
+	for _, name := range n.settings.Dialect.OwnHeaders() {
+		delete(h, name)
+	}
 }
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -49,6 +49,9 @@
 		return n.tryHeld(ctx, req)
 	}
 	for attempt := 1; ; attempt++ {
+		if refused := n.keyTakenAway(req); refused != nil {
+			return d.judge(refused)
+		}
 		a := d.attempt(ctx, attempt)
 		if a.target == "" || !d.again(ctx, a) {
 			return d.judge(a)
--- a/node/edge.go
+++ b/node/edge.go
@@ -26,7 +26,7 @@
 	}
 	n.noteForged(r)
 	stripOwn(r.Header)
-	req, err := n.rootRequest(w, r, n.settings.Service)
+	req, err := n.rootRequest(w, r, n.settings.Service, false)
 	if err != nil {
 		n.writeBad(w, r, err)
 		return
--- a/node/notes.go
+++ b/node/notes.go
@@ -71,6 +71,9 @@
 		outcome = call.Unknown
 	}
 	a := n.refuse(outcome, reason, 0)
+	if reason == call.ReasonUnauthorized {
+		a.status = http.StatusUnauthorized
+	}
 	if errors.As(err, new(*HeadError)) {
 		a.status = http.StatusRequestHeaderFieldsTooLarge
 	}
@@ -83,6 +86,11 @@
 // noteBad logs and counts a request that can't be taken, and returns the reason
 // that its caller gets.
 func (n *Node) noteBad(err error) call.Reason {
+	var stranger *IdentityError
+	if errors.As(err, &stranger) {
+		n.metrics.Strangers.With(string(stranger.Reason)).Inc(1)
+		return stranger.Reason
+	}
 	reason := call.ReasonBadRequest
 	event := observe.BadRequest
 	switch {
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -55,7 +55,7 @@
 	n.visits.orphans.Add(1)
 	n.noteOrphan(service)
 	stripOwn(r.Header)
-	req, err := n.rootRequest(w, r, service)
+	req, err := n.rootRequest(w, r, service, true)
 	if err != nil {
 		n.writeBad(w, r, err)
 		return
--- a/node/plaindialect_test.go
+++ b/node/plaindialect_test.go
@@ -14,6 +14,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/customer"
 	"pollengauge.dev/objects"
 )
 
@@ -23,9 +24,11 @@
 
 func (plainDialect) ReadCaller(h http.Header) (CallerRequest, error) {
 	ms, _ := strconv.Atoi(h.Get("X-Timeout"))
-	return CallerRequest{ID: h.Get("X-Id"), Timeout: time.Duration(ms) * time.Millisecond}, nil
+	return CallerRequest{ID: h.Get("X-Id"), Timeout: time.Duration(ms) * time.Millisecond, Key: customer.ReadKey(h, "X-Key")}, nil
 }
 
+func (plainDialect) OwnHeaders() []string { return []string{"X-Key", "X-Customer"} }
+
 func (plainDialect) ParentOf(id string) string {
 	return id[:max(strings.LastIndexByte(id, '/'), 0)]
 }
@@ -34,6 +37,9 @@
 	h.Set("X-Timeout", strconv.FormatInt(u.Timeout.Milliseconds(), 10))
 	h.Set("X-Origin", u.Origin)
 	h.Set("X-Instance", u.Instance)
+	if u.Customer != "" {
+		h.Set("X-Customer", u.Customer)
+	}
 }
 
 func (plainDialect) ReadUpstream(a *http.Response, u UpstreamRequest) UpstreamAnswer {
@@ -51,7 +57,12 @@
 func (plainDialect) WriteRefusal(h http.Header, r NodeRefusal) int {
 	h.Set("X-Reason", string(r.Reason))
 	h.Set("X-After", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
-	if r.Outcome == call.NotRun {
+	switch {
+	case r.Reason == call.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case r.Reason == call.ReasonQuota:
+		return http.StatusTooManyRequests
+	case r.Outcome == call.NotRun:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadGateway
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -63,6 +63,10 @@
 		return http.StatusConflict
 	}
 	switch {
+	case outcome == call.NotRun && reason == call.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case outcome == call.NotRun && reason == call.ReasonQuota:
+		return http.StatusTooManyRequests
 	case outcome == call.NotRun:
 		return http.StatusServiceUnavailable
 	case reason == call.ReasonTimeout:
--- a/node/request.go
+++ b/node/request.go
@@ -15,6 +15,8 @@
 	service string
 	// caller is who asks, "" below the root.
 	caller string
+	// whose tells the customer. It is known only where the request enters.
+	whose ownership
 	// url has the path and query as received.
 	url     *url.URL
 	header  http.Header
--- a/node/root_request.go
+++ b/node/root_request.go
@@ -14,15 +14,26 @@
 
 // rootRequest builds the request that the root sends on. Everything that
 // nodes trust is made here; nothing of it comes from the caller.
-func (n *Node) rootRequest(w http.ResponseWriter, r *http.Request, service string) (*request, error) {
+// A trusted caller, the upstream here, needs no key.
+func (n *Node) rootRequest(w http.ResponseWriter, r *http.Request, service string, trusted bool) (*request, error) {
 	profile, err := n.profileFor(service, r)
 	if err != nil {
 		return nil, err
 	}
+	current := n.config.Current()
+	whose, reason := n.identify(takeKey(r.Header, current), profile, current)
+	if trusted {
+		// The upstream beside this node calls out without a key.
+		reason = call.ReasonNone
+	}
+	if reason != call.ReasonNone {
+		return nil, &IdentityError{Reason: reason}
+	}
 	req, err := n.readRequest(w, r, service, profile)
 	if err != nil {
 		return nil, err
 	}
+	req.whose = whose
 	if req.key, err = keyOf(r.Header); err != nil {
 		return nil, err
 	}
@@ -38,6 +49,7 @@
 		Profile:   profile.Name,
 		Timeout:   timeout,
 		Credit:    profile.Credit,
+		Customer:  whose.name(),
 	}
 	req.call.Level = n.rank(r, req)
 	req.span = n.startSpan(r.Header)
@@ -47,12 +59,15 @@
 // rank places the request among those of its priority.
 func (n *Node) rank(r *http.Request, req *request) call.Level {
 	req.caller = callerOf(r, req.profile)
+	if name := req.whose.name(); name != "" {
+		req.caller = name
+	}
 	caller := req.caller
 	if n.settings.Ablate.NoFairness {
 		caller = req.call.RequestID
 	}
 	tie := n.ranker.Rank(req.call.Profile, caller, n.now())
-	return call.MakeLevel(call.Priority(req.profile.Priority), tie)
+	return call.MakeLevel(n.config.Current().PriorityFor(req.whose.customer, req.profile), tie)
 }
 
 // callerOf names who is asking, for fairness: the profile's header, else the
--- a/node/routed.go
+++ b/node/routed.go
@@ -29,6 +29,11 @@
 	}
 	parent := n.parentOf(req)
 	if parent == nil {
+		if req.whose.customer == nil && n.config.Current().KeyRequired(req.profile) {
+			// The run that made it has ended since it was let in as a call of it.
+			n.writeRefused(w, n.refuse(call.NotRun, call.ReasonVisitClosed, 0), r)
+			return
+		}
 		n.serveRoot(w, r, req)
 		return
 	}
@@ -72,6 +77,17 @@
 	return parent
 }
 
+// madeByRun tells whether an id is that of a call which a run here makes. Calls bring
+// no key: the request that they are made for did.
+func (n *Node) madeByRun(id string) bool {
+	parent := n.settings.Dialect.ParentOf(id)
+	if parent == "" {
+		return false
+	}
+	_, found := n.visits.find(parent)
+	return found
+}
+
 // writeRefused answers a request that has no route or can't be read. Nothing
 // was run.
 func (n *Node) writeRefused(w http.ResponseWriter, a *answer, r *http.Request) {
@@ -111,6 +127,13 @@
 		return nil, n.refuse(call.NotRun, call.ReasonNoTarget, unservedRetry)
 	}
 	profile := current.Profile(route.Profile)
+	whose, stranger := n.identify(told.Key, profile, current)
+	if n.madeByRun(told.ID) {
+		whose, stranger = ownership{}, call.ReasonNone
+	}
+	if stranger != call.ReasonNone {
+		return nil, n.refuseStranger(stranger)
+	}
 	req, err := n.readRequest(w, r, service, profile)
 	if err != nil {
 		return nil, n.refuse(call.NotRun, n.noteBad(err), 0)
@@ -130,7 +153,9 @@
 		Host:      r.Host,
 		Origin:    n.origin,
 	}
-	req.call.Level = drawLevel(profile, rand.Uint64())
+	req.whose = whose
+	req.call.Customer = whose.name()
+	req.call.Level = drawLevel(current.PriorityFor(whose.customer, profile), rand.Uint64())
 	req.span = n.startSpan(r.Header)
 	return req, nil
 }
@@ -158,8 +183,8 @@
 // does not tell callers apart: those of a VM share its address, and ranked by it
 // they would all crowd into a few levels, of which only whole ones can be
 // refused.
-func drawLevel(profile *config.Profile, random uint64) call.Level {
-	return call.MakeLevel(call.Priority(profile.Priority), call.Tiebreak(random%(uint64(call.MaxTiebreak)+1)))
+func drawLevel(priority call.Priority, random uint64) call.Level {
+	return call.MakeLevel(priority, call.Tiebreak(random%(uint64(call.MaxTiebreak)+1)))
 }
 
 // noConfigRetry is the least Retry-After of a node without a configuration: it
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -55,7 +55,9 @@
 
 	RootsWithoutContext, ForgedHeaders, Panics, Begun metrics.Counter
 	Malformed, Unrouted                               Counters
-	Spans                                             Counters
+	// Strangers are requests without the key of a customer, by reason.
+	Strangers Counters
+	Spans     Counters
 
 	// RetryBudgetLeft, ServiceLevel and ServiceLoad are by service.
 	RetryBudgetLeft, ServiceLevel Gauges
@@ -144,6 +146,7 @@
 	m.ForgedHeaders = m.counters(forgedMetric).With()
 	m.Malformed = m.counters(malformedMetric)
 	m.Unrouted = m.counters(unroutedMetric)
+	m.Strangers = m.counters(strangersMetric)
 	m.Panics = m.counters(panicsMetric).With()
 	m.Begun = m.counters(begunMetric).With()
 	m.Spans = m.counters(spansMetric)
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -86,6 +86,7 @@
 	rootsMetric     = define("pollengauge_roots_without_context_total", CounterKind, unitCount, "Calls out of the upstream that lacked the headers of the request it serves.")
 	forgedMetric    = define("pollengauge_forged_headers_total", CounterKind, unitCount, "Requests from outside that carried headers only nodes may set.")
 	malformedMetric = define("pollengauge_malformed_total", CounterKind, unitCount, "Messages, headers and answers that could not be read, by source.", "source")
+	strangersMetric = define("pollengauge_strangers_total", CounterKind, unitCount, "Requests without the key of a customer, by what their callers were told.", "reason")
 	unroutedMetric  = define("pollengauge_unrouted_total", CounterKind, unitCount, "Requests for which the configuration in force has no route, by what their callers were told.", "reason")
 	panicsMetric    = define("pollengauge_panics_total", CounterKind, unitCount, "Panics recovered while serving.")
 	begunMetric     = define("pollengauge_requests_begun_early_total", CounterKind, unitCount, "Requests that were begun while a request before them on their caller's connection was not answered yet.")
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -87,6 +87,7 @@
 	m.LogLinesLost.With("dropped").Inc(1)
 	m.Malformed.With("gossip").Inc(1)
 	m.Unrouted.With("no-route").Inc(1)
+	m.Strangers.With("unauthorized").Inc(1)
 	m.Spans.With("dropped").Inc(1)
 	families := scrape(c, m)
 	for _, metric := range MetricCatalogue() {
