quota, node, membership: customers are held below their limits over the whole fleet

What callers saw: limits were read and not enforced. Module quota: each customer's requests are counted by one member, its home, chosen by rendezvous hashing from the living members. It lends tokens that live for a part of the tolerance; nodes keep them in a purse, so that busy customers need no question for each request. A home lends the part of the limit that its side is of the fleet as it was last seen whole; the size goes with the gossip and is stored, so that nodes which restart in a cut know it. New buckets are nearly empty, deputies lend from the tolerance, buckets of customers that moved away are forgotten.

--- a/membership/config.go
+++ b/membership/config.go
@@ -23,6 +23,11 @@
 	NewestVersion() (version uint64, age time.Duration)
 	// Hear tells of a version that some member knew of so long ago.
 	Hear(version uint64, age time.Duration)
+	// Places is how many places of the fleet this process has seen itself, 0 not to
+	// tell. It is asked for each message.
+	Places() int
+	// HearPlaces takes in what another member told of that.
+	HearPlaces(count int)
 }
 
 // Config is the set of choices of one Gossip. Zero fields take the defaults.
@@ -248,3 +253,5 @@
 func (noDelegate) Offer(string, uint64, []byte)           {}
 func (noDelegate) NewestVersion() (uint64, time.Duration) { return 0, 0 }
 func (noDelegate) Hear(uint64, time.Duration)             {}
+func (noDelegate) Places() int                            { return 0 }
+func (noDelegate) HearPlaces(int)                         {}
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -9,6 +9,8 @@
 	// newsHop is what each hop adds to the age of a version that is only known of.
 	// It is above the time of a message, so that the age rises on any way round.
 	newsHop = time.Second
+	// maxPlaces is the most places that a member can tell of.
+	maxPlaces = 1 << 20
 	// maxNewestAge keeps an age far from overflow, in milliseconds.
 	maxNewestAge = 1 << 40
 )
@@ -105,6 +107,7 @@
 	if newest, age := g.cfg.Delegate.NewestVersion(); newest > m.Version {
 		m.Newest, m.NewestAge = newest, uint64(max(age, 0).Milliseconds())
 	}
+	m.Places = uint32(min(max(g.cfg.Delegate.Places(), 0), maxPlaces))
 	g.mu.Lock()
 	m.From = string(g.table.self.id[:])
 	m.FromSeq = g.table.self.m.Seq
@@ -118,6 +121,9 @@
 		age := time.Duration(min(m.NewestAge, maxNewestAge)) * time.Millisecond
 		g.cfg.Delegate.Hear(m.Newest, age+newsHop)
 	}
+	if m.Places > 0 {
+		g.cfg.Delegate.HearPlaces(int(min(m.Places, maxPlaces)))
+	}
 	if m.Version > g.cfg.Delegate.LocalVersion() {
 		g.cfg.Delegate.Hear(m.Version, 0)
 		g.fetch(from, m.Version)
--- a/membership/message.go
+++ b/membership/message.go
@@ -102,6 +102,9 @@
 	// long ago it was last known, in milliseconds.
 	Newest    uint64
 	NewestAge uint64
+	// Places is how many places of the fleet the sender has seen itself, 0 if it does
+	// not tell.
+	Places uint32
 }
 
 // validate refuses a message with any malformed field.
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -66,6 +66,10 @@
 	}
 }
 
+func (*testConfig) Places() int { return 0 }
+
+func (*testConfig) HearPlaces(int) {}
+
 func (d *testConfig) NewestVersion() (uint64, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -41,6 +41,10 @@
 	}
 	var unreadable int
 	for _, o := range found {
+		if o.Name == fleetSizeName {
+			n.heardFleetSize(o)
+			continue
+		}
 		if !isAddress(string(o.Value)) {
 			unreadable++
 			continue
@@ -50,7 +54,7 @@
 	if unreadable > 0 {
 		n.log.Emit(observe.BootstrapForeign, observe.Int("objects", unreadable))
 	}
-	n.offerBootstrap(ctx, found)
+	n.offerBootstrap(ctx, slices.DeleteFunc(found, func(o objects.Object) bool { return o.Name == fleetSizeName }))
 	return addrs, nil
 }
 
--- a/node/changes.go
+++ b/node/changes.go
@@ -149,6 +149,7 @@
 	n.reportTargets()
 	n.reportGossip()
 	n.reportBehind()
+	n.reportQuotas()
 }
 
 func (n *Node) reportLevel() {
--- a/node/customers.go
+++ b/node/customers.go
@@ -6,6 +6,7 @@
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/customer"
+	"pollengauge.dev/observe"
 )
 
 // ownership is whose request it is.
@@ -41,13 +42,18 @@
 
 // refuseStranger refuses a request that is nobody's.
 func (n *Node) refuseStranger(reason call.Reason) *answer {
-	n.metrics.Strangers.With(string(reason)).Inc(1)
+	n.noteStranger(reason)
 	if reason == call.ReasonConfigBehind {
 		return n.refuse(call.NotRun, reason, behindRetry)
 	}
 	return n.refuse(call.NotRun, reason, 0)
 }
 
+func (n *Node) noteStranger(reason call.Reason) {
+	n.metrics.Strangers.With(string(reason)).Inc(1)
+	n.log.Emit(observe.Unauthorized, observe.Str("reason", string(reason)), observe.Int64("config", int64(n.ConfigVersion())))
+}
+
 // keyTakenAway returns a refusal if no customer has the key of a request any more, nil
 // else.
 //
--- a/node/edge.go
+++ b/node/edge.go
@@ -70,6 +70,18 @@
 // runRoot decides about a root request: its key first, since a replay costs
 // nothing and must work under overload, then admission, then dispatch.
 func (n *Node) runRoot(ctx context.Context, req *request) *answer {
+	if refused := n.takeQuota(ctx, req); refused != nil {
+		return refused
+	}
+	a := n.runInQuota(ctx, req)
+	if a.report.Outcome == call.NotRun {
+		n.returnQuota(req)
+	}
+	return a
+}
+
+// runInQuota runs a root request that has its place below its customer's limit.
+func (n *Node) runInQuota(ctx context.Context, req *request) *answer {
 	if req.key == "" && req.profile.Key == config.KeyRequired {
 		return n.refuse(call.NotRun, call.ReasonKeyRequired, 0)
 	}
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -12,6 +12,7 @@
 const (
 	maintainInterval = time.Second
 	sweepEvery       = 5
+	fleetSizeLooks   = int(fleetSizeEvery / maintainInterval)
 	syncLimit        = 10
 	collectEvery     = 600
 	collectPage      = 500
@@ -76,6 +77,9 @@
 			n.sweepHeld()
 			n.metrics.Rotate()
 		}
+		if count%fleetSizeLooks == 0 {
+			n.keepFleetSize(ctx)
+		}
 		if count%collectEvery == 0 {
 			n.collectClaims(ctx)
 		}
--- a/node/members.go
+++ b/node/members.go
@@ -182,6 +182,7 @@
 	n.targetsMu.Lock()
 	defer n.targetsMu.Unlock()
 	members := n.gossip.Members()
+	n.updateQuotaHomes(members)
 	targets := make([]routing.Target, 0, len(members))
 	for _, m := range members {
 		if m.ID == n.id {
--- a/node/node.go
+++ b/node/node.go
@@ -66,8 +66,10 @@
 	repeats  *retry.Repeats
 	// quarantine has the requests under which upstreams end.
 	quarantine *quarantineState
-	lag        lagMeter
-	offered    offered
+	// quotas holds customers below their limits.
+	quotas  *quotaState
+	lag     lagMeter
+	offered offered
 	// unsettled are fates that no table holds any more.
 	unsettled unsettled
 	keys      *atmostonce.Table
@@ -196,6 +198,7 @@
 	n.followRatio()
 	n.repeats = retry.NewRepeats(retry.RepeatsConfig{Seed: n.random(), Start: n.started})
 	n.quarantine = newQuarantineState()
+	n.quotas = newQuotaState(s.Quota)
 	n.router = routing.NewRouter(routing.Config{
 		Node:      n.id,
 		Zone:      s.Zone,
--- a/node/peer.go
+++ b/node/peer.go
@@ -28,6 +28,10 @@
 		n.serveSuspects(w, r)
 		return
 	}
+	if n.takesQuotaAsks(r) {
+		n.serveQuotaAsk(w, r)
+		return
+	}
 	if err := checkTarget(r); err != nil {
 		n.writeBad(w, r, err)
 		return
--- /dev/null
+++ b/node/quotareport.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"pollengauge.dev/observe"
+)
+
+const (
+	// quotaQuietLooks is for how many looks a customer must not be refused before it
+	// is told that it is within its limit again.
+	quotaQuietLooks = 5
+	// maxReached bounds the customers that are told of at a time.
+	maxReached = 1024
+)
+
+func (q *quotaState) noteRefused(customer string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if _, known := q.refused[customer]; known || len(q.refused) < maxReached {
+		q.refused[customer]++
+	}
+}
+
+// reportQuotas logs which customers have reached their limit here, and which are within
+// it again.
+func (n *Node) reportQuotas() {
+	q := n.quotas
+	q.mu.Lock()
+	refused := q.refused
+	q.refused = make(map[string]int)
+	var reached, kept []string
+	for name := range refused {
+		if _, told := q.reached[name]; !told && len(q.reached) < maxReached {
+			reached = append(reached, name)
+		}
+		q.reached[name] = 0
+	}
+	for name := range q.reached {
+		if refused[name] > 0 {
+			continue
+		}
+		if q.reached[name]++; q.reached[name] >= quotaQuietLooks {
+			delete(q.reached, name)
+			kept = append(kept, name)
+		}
+	}
+	q.mu.Unlock()
+	for _, name := range reached {
+		n.log.Emit(observe.QuotaReached, observe.Str("customer", name), observe.Int("refused", refused[name]))
+	}
+	for _, name := range kept {
+		n.log.Emit(observe.QuotaKept, observe.Str("customer", name))
+	}
+}
--- /dev/null
+++ b/node/quotawire.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"pollengauge.dev/customer"
+	"pollengauge.dev/quota"
+)
+
+// Headers of a question for tokens and of its answer. They have all there is; there are
+// no bodies.
+const (
+	quotaFromHeader     = "Quota-From"
+	quotaCustomerHeader = "Quota-Customer"
+	// quotaLimitHeader has the rate, the burst and the version of the limit.
+	quotaRateHeader    = "Quota-Rate"
+	quotaBurstHeader   = "Quota-Burst"
+	quotaVersionHeader = "Quota-Version"
+	quotaWantHeader    = "Quota-Want"
+	quotaDeputyHeader  = "Quota-Deputy"
+
+	quotaTokensHeader = "Quota-Tokens"
+	// quotaAfterHeader is in microseconds, quotaUseHeader in thousandths.
+	quotaAfterHeader = "Quota-After"
+	quotaUseHeader   = "Quota-Use"
+	quotaHomeHeader  = "Quota-Home"
+)
+
+// maxQuotaWant bounds the tokens of one question and its answer.
+const maxQuotaWant = 100_000
+
+const useUnit = 1000
+
+// QuotaSilentError tells that a member that counts does not answer.
+type QuotaSilentError struct {
+	Member string
+	Cause  error
+}
+
+// Error implements error.
+func (e *QuotaSilentError) Error() string {
+	if e.Cause != nil {
+		return "member " + e.Member + " was asked for tokens: " + e.Cause.Error()
+	}
+	return "member " + e.Member + " does not count now"
+}
+
+// Unwrap returns the cause.
+func (e *QuotaSilentError) Unwrap() error { return e.Cause }
+
+// QuotaMovedError tells that another member counts.
+type QuotaMovedError struct{ Home string }
+
+// Error implements error.
+func (e *QuotaMovedError) Error() string { return "member " + e.Home + " counts for the customer" }
+
+func asMoved(err error, moved **QuotaMovedError) bool { return errors.As(err, moved) }
+
+// QuotaMessageError is a question or an answer that no member sends.
+type QuotaMessageError struct{ Field string }
+
+// Error implements error.
+func (e *QuotaMessageError) Error() string { return "question for tokens: field " + e.Field }
+
+// sendAsk asks another member.
+func (n *Node) sendAsk(ctx context.Context, addr string, ask quota.Ask, asDeputy bool) (quota.Grant, error) {
+	h := http.Header{"User-Agent": {""}}
+	setFields(h,
+		field{quotaFromHeader, n.id},
+		field{quotaCustomerHeader, url.PathEscape(ask.Customer)},
+		field{quotaRateHeader, strconv.FormatFloat(ask.Limit.Rate, 'g', -1, 64)},
+		field{quotaBurstHeader, strconv.FormatFloat(ask.Limit.Burst, 'g', -1, 64)},
+		field{quotaVersionHeader, strconv.FormatUint(ask.Version, 10)},
+		field{quotaWantHeader, strconv.Itoa(ask.Want)})
+	if asDeputy {
+		h[quotaDeputyHeader] = []string{"1"}
+	}
+	resp, _, err := n.roundTrip(ctx, n.peers, &http.Request{
+		Method:     http.MethodPost,
+		URL:        &url.URL{Scheme: "http", Host: addr, Path: quotaPath},
+		Host:       quotaHost,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Header:     h,
+	})
+	if err != nil {
+		return quota.Grant{}, &QuotaSilentError{Member: addr, Cause: err}
+	}
+	_ = resp.Body.Close()
+	return readGrant(resp)
+}
+
+func readGrant(resp *http.Response) (quota.Grant, error) {
+	if home := resp.Header.Get(quotaHomeHeader); home != "" {
+		return quota.Grant{}, &QuotaMovedError{Home: home}
+	}
+	if resp.StatusCode != http.StatusNoContent {
+		return quota.Grant{}, &QuotaMessageError{Field: "status"}
+	}
+	tokens, err := strconv.Atoi(resp.Header.Get(quotaTokensHeader))
+	if err != nil || tokens < 0 || tokens > maxQuotaWant {
+		return quota.Grant{}, &QuotaMessageError{Field: quotaTokensHeader}
+	}
+	after, err := strconv.ParseUint(resp.Header.Get(quotaAfterHeader), 10, 32)
+	if err != nil {
+		return quota.Grant{}, &QuotaMessageError{Field: quotaAfterHeader}
+	}
+	use, err := strconv.ParseUint(resp.Header.Get(quotaUseHeader), 10, 16)
+	if err != nil {
+		return quota.Grant{}, &QuotaMessageError{Field: quotaUseHeader}
+	}
+	return quota.Grant{Tokens: tokens, RetryAfter: time.Duration(after) * time.Microsecond, Use: float64(use) / useUnit}, nil
+}
+
+// readAsk reads a question of a member.
+func readAsk(h http.Header) (quota.Ask, error) {
+	name, err := url.PathUnescape(h.Get(quotaCustomerHeader))
+	if err != nil || !customer.ValidName(name) {
+		return quota.Ask{}, &QuotaMessageError{Field: quotaCustomerHeader}
+	}
+	ask := quota.Ask{Customer: name}
+	if ask.Limit.Rate, err = strconv.ParseFloat(h.Get(quotaRateHeader), 64); err != nil || !(ask.Limit.Rate > 0 && ask.Limit.Rate <= customer.MaxRate) {
+		return quota.Ask{}, &QuotaMessageError{Field: quotaRateHeader}
+	}
+	if ask.Limit.Burst, err = strconv.ParseFloat(h.Get(quotaBurstHeader), 64); err != nil || !(ask.Limit.Burst >= 0 && ask.Limit.Burst <= customer.MaxBurst) {
+		return quota.Ask{}, &QuotaMessageError{Field: quotaBurstHeader}
+	}
+	if ask.Version, err = strconv.ParseUint(h.Get(quotaVersionHeader), 10, 64); err != nil {
+		return quota.Ask{}, &QuotaMessageError{Field: quotaVersionHeader}
+	}
+	if ask.Want, err = strconv.Atoi(h.Get(quotaWantHeader)); err != nil || ask.Want < 1 || ask.Want > maxQuotaWant {
+		return quota.Ask{}, &QuotaMessageError{Field: quotaWantHeader}
+	}
+	return ask, nil
+}
+
+// serveQuotaAsk answers a member's question for tokens.
+func (n *Node) serveQuotaAsk(w http.ResponseWriter, r *http.Request) {
+	ask, err := readAsk(r.Header)
+	if err != nil {
+		n.writeBad(w, r, err)
+		return
+	}
+	if _, _, known := n.gossip.Lookup(r.Header.Get(quotaFromHeader)); !known {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	grant, err := n.lend(ask, r.Header.Get(quotaDeputyHeader) != "")
+	var moved *QuotaMovedError
+	switch {
+	case asMoved(err, &moved):
+		w.Header()[quotaHomeHeader] = []string{moved.Home}
+		w.WriteHeader(http.StatusNoContent)
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		setFields(w.Header(),
+			field{quotaTokensHeader, strconv.Itoa(grant.Tokens)},
+			field{quotaAfterHeader, strconv.FormatInt(min(grant.RetryAfter.Microseconds(), math.MaxUint32), 10)},
+			field{quotaUseHeader, strconv.Itoa(int(grant.Use * useUnit))})
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -93,7 +93,8 @@
 	if a.refusal == nil {
 		return
 	}
-	if retryAfterUseful(a.status) {
+	// Who counts for the customer knows best when it has room again.
+	if retryAfterUseful(a.status) && a.report.Reason != call.ReasonQuota {
 		a.refusal.after = max(a.refusal.after, n.retryAfter(a, req))
 	}
 	if n.spoken() {
--- a/node/request.go
+++ b/node/request.go
@@ -17,6 +17,11 @@
 	caller string
 	// whose tells the customer. It is known only where the request enters.
 	whose ownership
+	// quotaEnds is until when its place below the customer's limit can be given back,
+	// zero where it has none.
+	quotaEnds time.Time
+	// use is the customer's demand as a part of its limit, 0 if not known.
+	use float64
 	// url has the path and query as received.
 	url     *url.URL
 	header  http.Header
--- a/node/settings.go
+++ b/node/settings.go
@@ -9,6 +9,7 @@
 	"pollengauge.dev/config"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/quota"
 )
 
 // Settings are a node's process settings. They come from flags and
@@ -81,6 +82,10 @@
 	// Lookback is how many hops the explain ring holds.
 	Lookback int
 
+	// Quota is how far the requests of a customer may exceed its limit. The same has
+	// to hold at all nodes.
+	Quota quota.Tolerance
+
 	// GossipInterval is the time between two membership exchanges.
 	GossipInterval time.Duration
 
@@ -125,6 +130,8 @@
 	NoBudget     bool // no ratio bound on retries
 	NoFairness   bool // tie-break by request id only
 	NoProgress   bool // a call whose request has work done counts as new
+	NoQuota      bool // customers have no limits
+	EqualQuotas  bool // each node has the same part of a customer's limit
 	NoRation     bool // retries go to who asks first, not to who needs the fewest
 	NoSealing    bool // a broken attempt counts as unsent (unsafe; shows why)
 	NoVisitProof bool // an upstream's shed answer is believed (unsafe)
@@ -172,6 +179,7 @@
 		DrainTimeout:   30 * time.Second,
 		Lookback:       4096,
 		GossipInterval: time.Second,
+		Quota:          quota.DefaultTolerance,
 	}
 }
 
@@ -206,6 +214,13 @@
 	c.duration("key-window", s.KeyWindow, time.Minute, 14*24*time.Hour)
 	c.duration("body-timeout", s.BodyTimeout, 100*time.Millisecond, time.Hour)
 	c.duration("drain-timeout", s.DrainTimeout, 0, time.Hour)
+	c.duration("quota-window", s.Quota.Window, 100*time.Millisecond, time.Hour)
+	if !(s.Quota.Over >= 0 && s.Quota.Over <= 1) {
+		c.add("quota-over", strconv.FormatFloat(s.Quota.Over, 'g', -1, 64), "0 to 1")
+	}
+	if !(s.Quota.Slack >= 0 && s.Quota.Slack <= 1e6) {
+		c.add("quota-slack", strconv.FormatFloat(s.Quota.Slack, 'g', -1, 64), "0 to 1e6")
+	}
 	c.duration("gossip-interval", s.GossipInterval, 20*time.Millisecond, time.Minute)
 	c.tls(s.TLS)
 	return c.result()
--- a/node/sync.go
+++ b/node/sync.go
@@ -45,6 +45,17 @@
 	d.node.config.Hear(version, now.Add(-age), now)
 }
 
+// Places implements membership.Delegate.
+func (d *gossipDelegate) Places() int { return d.node.quotas.places() }
+
+// HearPlaces implements membership.Delegate.
+func (d *gossipDelegate) HearPlaces(count int) {
+	q := d.node.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.fleet.Heard(count, d.node.now())
+}
+
 // offerConfig takes a configuration that is valid and higher, and passes the
 // news on.
 func (n *Node) offerConfig(data []byte, source config.Source) {
--- a/observe/events.go
+++ b/observe/events.go
@@ -46,6 +46,7 @@
 	MemberAlive      = event(3008, "member-alive", Info, "A suspected or dead node is heard of again.", noAction)
 	BootstrapForeign = event(3012, "bootstrap-foreign", Warn, "An object that names a member to join holds no address; it was left out, and may be written over.", "Look at what else writes objects of this kind.")
 	BootstrapFailed  = event(3009, "bootstrap-failed", Warn, "Neither the platform nor a named peer gave a member to join.", "Name a peer in the settings or check the platform.")
+	FleetSizeUnkept  = event(3013, "fleet-size-unkept", Warn, "The size of the fleet could not be stored. Nodes that restart in a cut may let customers exceed their limits.", "Check the platform.")
 	MembersFull      = event(3010, "members-full", Error, "The member table is full; new members are not taken in.", "Raise the bound, or find out who announces so many nodes.")
 )
 
@@ -63,6 +64,9 @@
 	RequestCleared   = event(4022, "request-cleared", Info, "A request that was held back may run again: it completed, or an operator said so.", noAction)
 	SuspectsUntold   = event(4023, "suspects-untold", Warn, "A member of the service could not be told which requests an upstream was running as it ended.", "None, unless it repeats: see whether the members reach each other.")
 	RequestUnkept    = event(4024, "request-unkept", Warn, "A record of a held request could not be stored at the platform, or what is stored can't be read. The members know it as long as one of them runs.", "Check the platform, and what else writes objects of this kind.")
+	QuotaUnknown     = event(4026, "quota-unknown", Warn, "Neither the member that counts a customer's requests nor its deputy could be asked; a request was refused as not run.", "Look for members that are lost or cut off; it ends once the others know of it.")
+	QuotaReached     = event(4027, "quota-reached", Info, "Requests of a customer are refused here since they reached its limit.", "Compare the customer's use with its limit: pollengauge customers.")
+	QuotaKept        = event(4028, "quota-kept", Info, "Requests of a customer have not been refused here for a while.", noAction)
 	BrownoutEnded    = event(4008, "brownout-ended", Info, "Fresh answers are given again for a profile.", noAction)
 	NoTarget         = event(4009, "no-target", Error, "No member offers the service that was called.", "Start an upstream of the service or correct the name.")
 	TargetAvoided    = event(4010, "target-avoided", Warn, "A target is left out of routing because it fails or is slow.", "Look at the node named.")
@@ -107,6 +111,7 @@
 	PeerRefused        = event(7009, "peer-refused", Warn, "A connection on the port between nodes did not prove to be a peer.", "Find out who connects; compare the shared secret or certificates.")
 	CallLoop           = event(7010, "call-loop", Error, "A call reached the greatest depth and was refused.", "Look for a loop in the call graph.")
 	TooManyConnections = event(7011, "too-many-connections", Warn, "A listener holds as many connections as it may; new ones wait.", "Find out who opens them, or raise the limit.")
+	Unauthorized       = event(7016, "unauthorized", Info, "A caller sent no key, or one that no customer has; the request was refused as not run.", "Compare the configuration's version with the change that added or removed the key.")
 	VisitClosed        = event(7012, "visit-closed", Warn, "The upstream called out for a request that had already been answered.", "Make the upstream stop work when its request is cancelled.")
 )
 
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -57,7 +57,9 @@
 	Malformed, Unrouted                               Counters
 	// Strangers are requests without the key of a customer, by reason.
 	Strangers Counters
-	Spans     Counters
+	// Quotas are requests of customers with a limit, by what became of them.
+	Quotas Counters
+	Spans  Counters
 
 	// RetryBudgetLeft, ServiceLevel and ServiceLoad are by service.
 	RetryBudgetLeft, ServiceLevel Gauges
@@ -147,6 +149,7 @@
 	m.Malformed = m.counters(malformedMetric)
 	m.Unrouted = m.counters(unroutedMetric)
 	m.Strangers = m.counters(strangersMetric)
+	m.Quotas = m.counters(quotasMetric)
 	m.Panics = m.counters(panicsMetric).With()
 	m.Begun = m.counters(begunMetric).With()
 	m.Spans = m.counters(spansMetric)
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -87,6 +87,7 @@
 	forgedMetric    = define("pollengauge_forged_headers_total", CounterKind, unitCount, "Requests from outside that carried headers only nodes may set.")
 	malformedMetric = define("pollengauge_malformed_total", CounterKind, unitCount, "Messages, headers and answers that could not be read, by source.", "source")
 	strangersMetric = define("pollengauge_strangers_total", CounterKind, unitCount, "Requests without the key of a customer, by what their callers were told.", "reason")
+	quotasMetric    = define("pollengauge_quota_requests_total", CounterKind, unitCount, "Requests of customers with a limit: taken within it, refused beyond it, or unknown where nobody who counts could be asked.", "result")
 	unroutedMetric  = define("pollengauge_unrouted_total", CounterKind, unitCount, "Requests for which the configuration in force has no route, by what their callers were told.", "reason")
 	panicsMetric    = define("pollengauge_panics_total", CounterKind, unitCount, "Panics recovered while serving.")
 	begunMetric     = define("pollengauge_requests_begun_early_total", CounterKind, unitCount, "Requests that were begun while a request before them on their caller's connection was not answered yet.")
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -88,6 +88,7 @@
 	m.Malformed.With("gossip").Inc(1)
 	m.Unrouted.With("no-route").Inc(1)
 	m.Strangers.With("unauthorized").Inc(1)
+	m.Quotas.With("taken").Inc(1)
 	m.Spans.With("dropped").Inc(1)
 	families := scrape(c, m)
 	for _, metric := range MetricCatalogue() {
--- /dev/null
+++ b/quota/homes.go
@@ -0,0 +1,52 @@
+package quota
+
+import "hash/fnv"
+
+// Homes tells which members count for a customer: of all members that are believed to
+// live, the one with the highest draw for it, as in rendezvous hashing. Members that
+// know the same members agree, and a member that comes or goes moves its own customers
+// only. It is immutable.
+type Homes struct {
+	ids    []string
+	hashes []uint64
+}
+
+// NewHomes returns the Homes of the living members.
+func NewHomes(ids []string) *Homes {
+	h := &Homes{ids: ids, hashes: make([]uint64, len(ids))}
+	for i, id := range ids {
+		h.hashes[i] = hashOf(id)
+	}
+	return h
+}
+
+// Of returns the home of a customer and its deputy, "" where there is none.
+func (h *Homes) Of(customer string) (home, deputy string) {
+	of := hashOf(customer)
+	var first, second uint64
+	for i, member := range h.hashes {
+		draw := mix(of, member)
+		switch {
+		case home == "" || draw > first:
+			deputy, second = home, first
+			home, first = h.ids[i], draw
+		case deputy == "" || draw > second:
+			deputy, second = h.ids[i], draw
+		}
+	}
+	return home, deputy
+}
+
+func hashOf(s string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(s))
+	return hash.Sum64()
+}
+
+// mix is the finalizer of splitmix64 over two words.
+func mix(a, b uint64) uint64 {
+	x := a + b*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,377 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// A customer asks for many times its limit. What is lent is the limit, and no more at
+// the start than at any other time.
+func TestLedgerLendsTheLimit(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger(DefaultTolerance.Start)
+	lent := 0
+	for ms := range 10_000 {
+		lent += l.Ask(Ask{Customer: "a", Limit: Limit{Rate: 50, Burst: 50}, Want: 1, Share: 1}, at(time.Duration(ms)*time.Millisecond)).Tokens
+	}
+	c.Check(lent >= 500 && lent <= 505, qt.IsTrue, qt.Commentf("%d", lent))
+	g := l.Ask(Ask{Customer: "a", Limit: Limit{Rate: 50, Burst: 50}, Want: 1000, Share: 1}, at(20*time.Second))
+	c.Check(g.Tokens, qt.Equals, 50, qt.Commentf("the burst"))
+	c.Check(g.Use, qt.Equals, 1.0)
+}
+
+// A customer comes for the first time, long after its home began to count. Nobody was
+// lent anything meanwhile, so it finds its burst.
+func TestFirstRequestsFindTheBurst(t *testing.T) {
+	c := qt.New(t)
+	ask := Ask{Customer: "a", Limit: Limit{Rate: 10, Burst: 30}, Want: 100, Share: 1, Since: at(0)}
+	c.Check(NewLedger(DefaultTolerance.Start).Ask(ask, at(time.Minute)).Tokens, qt.Equals, 30)
+	c.Check(NewLedger(DefaultTolerance.Start).Ask(ask, at(time.Second)).Tokens, qt.Equals, 14)
+	c.Check(NewLedger(DefaultTolerance.Start).Ask(ask, at(0)).Tokens, qt.Equals, 4)
+}
+
+// An older version's limit comes back in a late question. The latest one holds.
+func TestLedgerKeepsTheLatestLimit(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger(func(Limit) float64 { return 0 })
+	ask := func(version uint64, rate float64, after time.Duration) int {
+		return l.Ask(Ask{Customer: "a", Limit: Limit{Rate: rate, Burst: 1000}, Version: version, Want: 1000, Share: 1}, at(after)).Tokens
+	}
+	ask(2, 10, 0)
+	ask(1, 500, time.Second)
+	c.Check(ask(1, 500, 2*time.Second), qt.Equals, 10)
+	ask(3, 100, 3*time.Second)
+	c.Check(ask(2, 10, 4*time.Second), qt.Equals, 100)
+}
+
+// Those who are refused together are told to come back over the time in which there
+// will be tokens for all of them, not at once.
+func TestRefusedAreSpread(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger(func(Limit) float64 { return 0 })
+	for range 20 {
+		l.Ask(Ask{Customer: "a", Limit: Limit{Rate: 20}, Want: 1, Share: 1, Draw: 0.5}, at(0))
+	}
+	last := l.Ask(Ask{Customer: "a", Limit: Limit{Rate: 20}, Want: 1, Share: 1, Draw: 0.99}, at(0)).RetryAfter
+	soon := l.Ask(Ask{Customer: "a", Limit: Limit{Rate: 20}, Want: 1, Share: 1, Draw: 0}, at(0)).RetryAfter
+	c.Check(soon, qt.Equals, 50*time.Millisecond)
+	c.Check(last > 900*time.Millisecond && last <= maxRetryAfter, qt.IsTrue, qt.Commentf("%v", last))
+}
+
+// A token that is not used, or given back late, is worth nothing: it was counted in an
+// earlier window.
+func TestTokensEnd(t *testing.T) {
+	c := qt.New(t)
+	p := NewPurse(400 * time.Millisecond)
+	c.Check(p.Take("a", at(0)).Want, qt.Equals, 1)
+	p.Put("a", Grant{Tokens: 2, Use: 0.5}, at(0), at(50*time.Millisecond))
+	taken := p.Retake("a", at(100*time.Millisecond))
+	c.Check(taken.OK, qt.IsTrue)
+	c.Check(taken.Use, qt.Equals, 0.5)
+	p.Return("a", taken.Ends, at(200*time.Millisecond))
+	c.Check(p.Take("a", at(300*time.Millisecond)).OK, qt.IsTrue, qt.Commentf("one that was given back"))
+	c.Check(p.Take("a", at(400*time.Millisecond)).OK, qt.IsFalse, qt.Commentf("the other has ended"))
+	p.Return("a", taken.Ends, at(500*time.Millisecond))
+	c.Check(p.Take("a", at(510*time.Millisecond)).OK, qt.IsFalse)
+}
+
+// A home without tokens is left alone for a moment; callers are told what it said.
+func TestDryHomesAreLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	p := NewPurse(400 * time.Millisecond)
+	p.Put("a", Grant{RetryAfter: time.Second}, at(0), at(0))
+	c.Check(p.Take("a", at(50*time.Millisecond)), qt.DeepEquals, Taken{RetryAfter: time.Second})
+	c.Check(p.Take("a", at(150*time.Millisecond)).Want, qt.Equals, 1)
+}
+
+// Members that know the same members agree on homes, and a member that goes moves its
+// own customers only, each to its deputy.
+func TestHomesMoveOnlyWithTheirMember(t *testing.T) {
+	c := qt.New(t)
+	var ids []string
+	for i := range 70 {
+		ids = append(ids, "member"+strconv.Itoa(i))
+	}
+	all := NewHomes(ids)
+	fewer := NewHomes(ids[1:])
+	counts := map[string]int{}
+	for i := range 7000 {
+		name := "customer" + strconv.Itoa(i)
+		home, deputy := all.Of(name)
+		now, _ := fewer.Of(name)
+		counts[home]++
+		if home == ids[0] {
+			home = deputy
+		}
+		c.Check(now, qt.Equals, home)
+	}
+	for id, count := range counts {
+		c.Check(count > 50 && count < 160, qt.IsTrue, qt.Commentf("%s counts for %d", id, count))
+	}
+	home, deputy := NewHomes(nil).Of("a")
+	c.Check(home+deputy, qt.Equals, "")
+	home, deputy = NewHomes([]string{"one"}).Of("a")
+	c.Check([]string{home, deputy}, qt.DeepEquals, []string{"one", ""})
+}
+
+// In a cut each side lends its part. A farewell makes the fleet smaller, a restart at
+// the same place does not.
+func TestShareIsThePartThatIsSeen(t *testing.T) {
+	c := qt.New(t)
+	var f Fleet
+	member := func(i int, id string) Member {
+		return Member{ID: id + strconv.Itoa(i), Place: "place" + strconv.Itoa(i)}
+	}
+	var all []Member
+	for i := range 10 {
+		all = append(all, member(i, "a"))
+	}
+	none := func(string) bool { return false }
+	c.Check(f.Update(all, none, at(0)), qt.Equals, 1.0)
+	c.Check(f.Update(all[:4], none, at(time.Second)), qt.Equals, 0.4)
+	all[0] = member(0, "b")
+	c.Check(f.Update(all, none, at(2*time.Second)), qt.Equals, 1.0)
+	c.Check(f.Update(all[:9], func(id string) bool { return id == "a9" }, at(3*time.Second)), qt.Equals, 1.0)
+	c.Check(f.Update(all[:8], none, at(4*time.Second)) < 0.9, qt.IsTrue)
+	c.Check(f.Update(all[:8], none, at(4*time.Second+missingLife)), qt.Equals, 1.0, qt.Commentf("a place that was never taken again"))
+	var fresh Fleet
+	fresh.Heard(8, at(0))
+	c.Check(fresh.Update(all[:4], none, at(0)), qt.Equals, 0.5, qt.Commentf("others have seen more"))
+	fresh.Heard(16, at(0))
+	fresh.Heard(8, at(time.Second))
+	c.Check(fresh.Update(all[:4], none, at(time.Second)), qt.Equals, 0.25)
+	c.Check(fresh.Whole(), qt.IsFalse)
+	c.Check(fresh.Update(all[:4], none, at(missingLife)), qt.Equals, 1.0)
+	var seen Fleet
+	seen.Heard(4, at(0))
+	seen.Update(all[:4], none, at(0))
+	seen.Heard(9, at(time.Second))
+	c.Check(seen.Update(all[:4], none, at(time.Second)), qt.Equals, 1.0, qt.Commentf("it has seen the whole itself"))
+}
+
+func TestTolerance(t *testing.T) {
+	c := qt.New(t)
+	limit := Limit{Rate: 10, Burst: 10}
+	c.Check(DefaultTolerance.Life(), qt.Equals, 400*time.Millisecond)
+	c.Check(DefaultTolerance.Most(limit), qt.Equals, 86.0)
+	deputy := DefaultTolerance.Deputy(limit)
+	parts := limit.Rate*DefaultTolerance.Life().Seconds() + deputy.Rate*5 + deputy.Burst + DefaultTolerance.Start(limit)
+	c.Check(parts < DefaultTolerance.Most(limit)-60, qt.IsTrue, qt.Commentf("%v", parts))
+	c.Check(Tolerance{}.Deputy(limit), qt.Equals, Limit{})
+}
+
+// world plays a fleet in which every member has a view of its own.
+type world struct {
+	rnd   *rand.Rand
+	t     Tolerance
+	limit Limit
+	nodes []*worldNode
+	now   time.Time
+	sent  []time.Time
+	// stored is the size of the fleet that processes read as they start, lost the
+	// part of the questions that their home does not answer.
+	stored int
+	lost   float64
+}
+
+type worldNode struct {
+	id      string
+	born    time.Time
+	purse   *Purse
+	ledger  *Ledger
+	deputy  *Ledger
+	side    int
+	view    []int
+	share   float64
+	fleet   Fleet
+	restart int
+	ids     []string
+	since   time.Time
+}
+
+func newWorld(count int, limit Limit, seed uint64) *world {
+	w := &world{rnd: rand.New(rand.NewPCG(seed, seed)), t: DefaultTolerance, limit: limit, now: epoch, stored: count}
+	for range count {
+		w.nodes = append(w.nodes, &worldNode{})
+	}
+	for i := range w.nodes {
+		w.restart(i)
+	}
+	w.look()
+	return w
+}
+
+func (w *world) restart(i int) {
+	n := w.nodes[i]
+	*n = worldNode{
+		id: "n" + strconv.Itoa(i) + "." + strconv.Itoa(n.restart), restart: n.restart + 1, side: n.side, born: w.now,
+		view: []int{}, purse: NewPurse(w.t.Life()), ledger: NewLedger(w.t.Start), deputy: NewLedger(func(Limit) float64 { return 1 }),
+	}
+	if w.stored > 0 {
+		n.fleet.Heard(w.stored, w.now)
+	}
+}
+
+// look has every node see those of its side.
+func (w *world) look() {
+	for _, n := range w.nodes {
+		n.view = n.view[:0]
+		var living []Member
+		for i, other := range w.nodes {
+			if other.side == n.side {
+				n.view = append(n.view, i)
+				living = append(living, Member{ID: other.id, Place: strconv.Itoa(i)})
+			}
+		}
+		for _, i := range n.view {
+			n.fleet.Heard(w.nodes[i].fleet.Places(), w.now)
+		}
+		n.share = n.fleet.Update(living, func(string) bool { return false }, w.now)
+		ids := idsOf(living)
+		if !slices.Equal(ids, n.ids) {
+			n.ids, n.since = ids, w.now
+		}
+		homes := NewHomes(ids)
+		n.ledger.Keep(func(customer string) bool { home, _ := homes.Of(customer); return home == n.id })
+	}
+}
+
+func idsOf(members []Member) []string {
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+// request plays one at a node.
+func (w *world) request(i int) {
+	n := w.nodes[i]
+	taken := n.purse.Take("c", w.now)
+	if taken.Want > 0 {
+		if g, ok := w.ask(n, taken.Want); ok {
+			n.purse.Put("c", g, w.now, w.now)
+			if !taken.OK {
+				taken = n.purse.Retake("c", w.now)
+			}
+		}
+	}
+	if taken.OK {
+		w.sent = append(w.sent, w.now)
+	}
+}
+
+func (w *world) ask(n *worldNode, want int) (Grant, bool) {
+	ids := make([]string, len(n.view))
+	byID := map[string]*worldNode{}
+	for k, i := range n.view {
+		ids[k] = w.nodes[i].id
+		byID[ids[k]] = w.nodes[i]
+	}
+	home, deputy := NewHomes(ids).Of("c")
+	ask := Ask{Customer: "c", Limit: w.limit, Want: want, Draw: w.rnd.Float64()}
+	if h := byID[home]; h != nil && h.side == n.side && w.rnd.Float64() >= w.lost {
+		ask.Share, ask.Since = h.share, h.since
+		return h.ledger.Ask(ask, w.now), true
+	}
+	if d := byID[deputy]; d != nil && d.side == n.side {
+		ask.Share, ask.Limit = 1, w.t.Deputy(w.limit)
+		return d.deputy.Ask(ask, w.now), true
+	}
+	return Grant{}, false
+}
+
+// most is the most requests in any window.
+func (w *world) most() int {
+	first, most := 0, 0
+	for i, last := range w.sent {
+		for last.Sub(w.sent[first]) > w.t.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// The fleet is cut in parts, nodes and whole fleets restart, and views are late, while a
+// customer sends many times its limit through all nodes. No window holds more than the
+// users bear.
+func TestNoWindowExceedsTheToleranceUnderFaults(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(40) {
+		rnd := rand.New(rand.NewPCG(seed, 7))
+		limit := Limit{Rate: []float64{2, 10, 40, 200}[seed%4]}
+		limit.Burst = limit.Rate * []float64{0, 1, 2}[seed%3]
+		w := newWorld(8+rnd.IntN(30), limit, seed)
+		w.lost = 0.05
+		demand := limit.Rate * (1.5 + 6*rnd.Float64())
+		nextFault := w.now.Add(time.Second)
+		lookAt := w.now
+		for w.now.Before(epoch.Add(40 * time.Second)) {
+			w.now = w.now.Add(time.Duration(rnd.ExpFloat64() / demand * float64(time.Second)))
+			if !w.now.Before(lookAt) {
+				w.look()
+				lookAt = w.now.Add(300 * time.Millisecond)
+			}
+			if w.now.After(nextFault) {
+				nextFault = w.now.Add(time.Duration(3+rnd.IntN(5)) * time.Second)
+				switch rnd.IntN(4) {
+				case 0:
+					for _, n := range w.nodes {
+						n.side = rnd.IntN(3)
+					}
+				case 1:
+					for _, n := range w.nodes {
+						n.side = 0
+					}
+				case 2:
+					for i := range w.nodes {
+						w.restart(i)
+					}
+				case 3:
+					w.restart(rnd.IntN(len(w.nodes)))
+				}
+			}
+			w.request(rnd.IntN(len(w.nodes)))
+		}
+		c.Check(float64(w.most()) <= w.t.Most(limit), qt.IsTrue, qt.Commentf("seed %d: %d of %v", seed, w.most(), w.t.Most(limit)))
+	}
+}
+
+// A customer sends within its limit, evenly or through one node; one sends far above it.
+// The first is hardly ever refused, the second gets its limit.
+func TestWhatIsWithinTheLimitIsLetThrough(t *testing.T) {
+	c := qt.New(t)
+	for name, test := range map[string]struct {
+		demand      float64
+		nodes       int
+		least, most float64
+	}{
+		"many nodes, half of it": {0.5, 70, 0.99, 1},
+		"many nodes, most of it": {0.8, 70, 0.97, 1},
+		"one node, most of it":   {0.8, 1, 0.97, 1},
+		"many nodes, five times": {5, 70, 0.18, 0.21},
+		"one node, five times":   {5, 1, 0.18, 0.21},
+	} {
+		for _, rate := range []float64{10, 100} {
+			w := newWorld(70, Limit{Rate: rate, Burst: rate}, 3)
+			requests := 0
+			for w.now.Before(epoch.Add(60 * time.Second)) {
+				w.now = w.now.Add(time.Duration(w.rnd.ExpFloat64() / (test.demand * rate) * float64(time.Second)))
+				w.request(w.rnd.IntN(test.nodes))
+				requests++
+			}
+			served := float64(len(w.sent)) / float64(requests)
+			c.Check(served >= test.least && served <= test.most, qt.IsTrue, qt.Commentf("%s, rate %v: %.3f", name, rate, served))
+		}
+	}
+}
