soak, node: customers with keys and a limit; a call whose run is not known is refused as not run

The soak's requests bring keys of two tenants, one of them over its limit, some of nobody, and claim to be others; it judges that no key reaches an upstream, that each run is told its tenant, that nothing of nobody runs, and by the clock that no window exceeds the limit. Each check is shown its fault. Seen by it: the mover's request was sent with two keys, a fault of the soak.

An upstream's call without a key, whose run has ended or is not known after a restart, got 401, which is final though the call is proper; it gets 503, not run.

--- a/cmd/pollengauge/soak/customer_test.go
+++ b/cmd/pollengauge/soak/customer_test.go
@@ -75,6 +75,10 @@
 	}
 	req.ContentLength = int64(len(s.body))
 	req.Host = host
+	if s.key == "" {
+		s.chooseTenant()
+	}
+	s.claim(req.Header)
 	req.Header.Set(headerID, s.id)
 	req.Header.Set(headerTimeout, strconv.FormatInt(wait.Milliseconds(), 10))
 	add(f.record, &f.record.sent, s)
--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -38,6 +38,7 @@
 	defer r.mu.Unlock()
 	j := newJudgement(r, t)
 	j.runsWereAsked()
+	j.keysOpenTheirOwnDoor()
 	j.unsafeRunsOnce()
 	j.refusalsAreTrue()
 	j.answersBelong()
@@ -52,6 +53,7 @@
 	if t.timed {
 		j.leavingGetsNothing()
 		j.retriesAreBounded()
+		j.limitsHold()
 		j.answersComeInTime()
 		j.routesAreServed()
 		j.returnedUpstreamsWork()
--- a/cmd/pollengauge/soak/mover_test.go
+++ b/cmd/pollengauge/soak/mover_test.go
@@ -46,6 +46,7 @@
 
 func (f *fleet) visitZones(ctx context.Context, here, there *vm, client *http.Client) {
 	s := sent{id: newID(), method: http.MethodGet, path: pathBrowse, unsafe: rand.IntN(2) == 0, origin: here.upstream.service}
+	s.chooseTenant()
 	if s.unsafe {
 		s.method, s.path = http.MethodPost, pathFile
 		s.body = strings.Repeat(s.id, 1+rand.IntN(100))
--- a/cmd/pollengauge/soak/operator_test.go
+++ b/cmd/pollengauge/soak/operator_test.go
@@ -125,6 +125,7 @@
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "web"}, map[string]any{"name": "filing"}, map[string]any{"name": "stock"}},
 		"limits":   map[string]any{"idle_timeout_s": 15},
+		"tenants":  tenantsConfiguration(),
 	}
 }
 
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -39,6 +40,19 @@
 	}{
 		{"run without a request", "asked", func(r *record) { r.sent = nil; r.answers = nil }},
 		{"body changed on the way", "asked", func(r *record) { r.runs[0].body = "other" }},
+		{"a key that was passed on", "key", func(r *record) { r.runs[0].keyed = true }},
+		{"another tenant", "tenant", func(r *record) { r.runs[0].tenant = "press" }},
+		{"a key of nobody", "stranger", func(r *record) { r.sent[0].stranger = true }},
+		{"more than a limit", "limit", func(r *record) {
+			r.sent[0].tenant, r.runs[0].tenant = "press", "press"
+			for i := range 190 {
+				id := "l" + strconv.Itoa(i)
+				r.sent = append(r.sent, sent{id: id, path: "/file/x", method: "POST", body: "b", origin: "web", tenant: "press"})
+				x := again(r)
+				x.id, x.at, x.tenant = id, at.Add(time.Duration(i)*20*time.Millisecond), "press"
+				r.runs = append(r.runs, x)
+			}
+		}},
 		{"wrong origin", "asked", func(r *record) { r.runs[0].origin = "filing" }},
 		{"service that no configuration allows", "route", func(r *record) { r.runs[0].service = "web" }},
 		{"second run", "once", func(r *record) { r.runs = append(r.runs, again(r)) }},
--- a/cmd/pollengauge/soak/record_test.go
+++ b/cmd/pollengauge/soak/record_test.go
@@ -14,6 +14,10 @@
 	// method and body are as the receiver must get them.
 	method, body string
 	unsafe       bool
+	// tenant is whose key it brought, "" for a call and where stranger tells that
+	// nobody has the key.
+	tenant, key string
+	stranger    bool
 	// half is set where a part of the body was never sent.
 	half bool
 	// origin is the service on the VM where it was made.
@@ -33,6 +37,9 @@
 	path   string
 	body   string
 	origin string
+	// tenant is what the upstream was told; keyed tells that it got a key.
+	tenant string
+	keyed  bool
 	// executed is false where the upstream turned it away.
 	executed  bool
 	status    int
--- /dev/null
+++ b/cmd/pollengauge/soak/tenants_test.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Headers of callers' keys, and of whose request an upstream is told that it runs.
+const (
+	headerKey    = "Api-Key"
+	headerTenant = "Pollengauge-Tenant"
+)
+
+// tenant is a customer of the fleet. A rate of 0 is no limit.
+type tenant struct {
+	name        string
+	keys        []string
+	priority    int
+	rate, burst float64
+}
+
+var tenants = []tenant{
+	{name: "city", keys: []string{"soak-key-of-the-city", "soak-key-of-the-city-too"}, priority: 0},
+	{name: "press", keys: []string{"soak-key-of-the-press"}, priority: 1, rate: 25, burst: 25},
+}
+
+const (
+	// pressShare of the requests are the limited tenant's, somewhat over its limit.
+	pressShare = 0.1
+	// strangerShare of the requests bring a key of nobody.
+	strangerShare = 0.01
+	strangerKey   = "soak-key-of-nobody"
+)
+
+// Tolerance of limits, as in the fleet's settings.
+const (
+	quotaWindow = 5 * time.Second
+	quotaOver   = 0.1
+	quotaSlack  = 20
+)
+
+// chooseTenant decides whose request it is.
+func (s *sent) chooseTenant() {
+	of := tenants[0]
+	switch draw := rand.Float64(); {
+	case draw < strangerShare:
+		s.key, s.stranger = strangerKey, true
+		return
+	case draw < strangerShare+pressShare:
+		of = tenants[1]
+	}
+	s.tenant, s.key = of.name, of.keys[rand.IntN(len(of.keys))]
+}
+
+// claim writes the key, and the name of another tenant, which must not be believed.
+func (s *sent) claim(h http.Header) {
+	h.Set(headerKey, s.key)
+	h.Set(headerTenant, "somebody")
+}
+
+func tenantsConfiguration() []any {
+	var list []any
+	for _, t := range tenants {
+		list = append(list, map[string]any{"name": t.name, "api_keys": t.keys, "priority": t.priority, "rate_per_s": t.rate, "burst": t.burst})
+	}
+	return list
+}
+
+// keysOpenTheirOwnDoor: each request runs for the tenant whose key it brought, or not at
+// all, and no key reaches an upstream.
+func (j *judgement) keysOpenTheirOwnDoor() {
+	for _, x := range j.runs {
+		s, ok := j.asked[x.id]
+		switch {
+		case x.keyed:
+			j.add("key", "%s was passed the key of %s", x.instance, x.id)
+		case ok && x.tenant != s.tenant:
+			j.add("tenant", "%s was told that %s is of %q, it is of %q", x.instance, x.id, x.tenant, s.tenant)
+		case ok && s.stranger && x.executed:
+			j.add("stranger", "%s ran %s, whose key nobody has", x.instance, x.id)
+		}
+	}
+}
+
+// limitsHold: in no window more requests of a tenant run than its limit and the
+// tolerance allow.
+func (j *judgement) limitsHold() {
+	for _, t := range tenants {
+		if t.rate == 0 {
+			continue
+		}
+		var at []time.Time
+		for _, x := range j.runs {
+			if x.executed && x.tenant == t.name {
+				at = append(at, x.at)
+			}
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		most := int((t.rate*quotaWindow.Seconds()+t.burst)*(1+quotaOver)) + quotaSlack
+		first := 0
+		for i, last := range at {
+			for last.Sub(at[first]) > quotaWindow {
+				first++
+			}
+			if i-first+1 > most {
+				j.add("limit", "%d requests of %s ran in one window, at most %d", i-first+1, t.name, most)
+				break
+			}
+		}
+	}
+}
--- a/cmd/pollengauge/soak/upload_test.go
+++ b/cmd/pollengauge/soak/upload_test.go
@@ -62,6 +62,7 @@
 	body := uploadBytes[:size]
 	s := sent{id: newID(), vm: v.number, at: time.Now(), method: http.MethodPost, path: pathFile, body: digest(body), unsafe: true, half: half, origin: v.upstream.service}
 	s.path += s.id
+	s.chooseTenant()
 	add(f.record, &f.record.sent, s)
 	_ = conn.SetDeadline(s.at.Add(stall + customerDeadline))
 	reader := bufio.NewReader(conn)
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -152,6 +152,7 @@
 	x := run{
 		id: r.Header.Get(headerID), at: time.Now(), vm: i.vm, service: i.service, instance: i.instance, life: i.life,
 		method: r.Method, path: r.URL.RequestURI(), body: digest(string(body)), origin: r.Header.Get(headerOrigin),
+		tenant: r.Header.Get(headerTenant), keyed: len(r.Header[headerKey]) > 0,
 	}
 	w.Header().Set(headerInstance, i.instance)
 	if expected := r.Header.Get(headerExpected); expected != "" && expected != i.instance {
--- a/cmd/pollengauge/soak/vm_test.go
+++ b/cmd/pollengauge/soak/vm_test.go
@@ -119,6 +119,7 @@
 		"platform": map[string]any{"platform": map[string]any{"address": v.at(portStoreProxy), "writes_per_s": 400, "reads_per_s": 2000}},
 		"terms": map[string]any{"bounds": map[string]any{
 			"grace_s": grace.Seconds(), "drain_s": v.fleet.terms.drain.Seconds(), "budget_ratio": v.fleet.terms.retryRatio,
+			"quota_window_s": quotaWindow.Seconds(), "quota_over": quotaOver, "quota_slack": quotaSlack,
 			"budget_window_s": v.fleet.terms.retryWindow.Seconds(), "budget_slack": v.fleet.terms.retrySlack,
 		}},
 	})
--- a/node/routed.go
+++ b/node/routed.go
@@ -77,17 +77,6 @@
 	return parent
 }
 
-// madeByRun tells whether an id is that of a call which a run here makes. Calls bring
-// no key: the request that they are made for did.
-func (n *Node) madeByRun(id string) bool {
-	parent := n.settings.Dialect.ParentOf(id)
-	if parent == "" {
-		return false
-	}
-	_, found := n.visits.find(parent)
-	return found
-}
-
 // writeRefused answers a request that has no route or can't be read. Nothing
 // was run.
 func (n *Node) writeRefused(w http.ResponseWriter, a *answer, r *http.Request) {
@@ -128,7 +117,11 @@
 	}
 	profile := current.Profile(route.Profile)
 	whose, stranger := n.identify(told.Key, profile, current)
-	if n.madeByRun(told.ID) {
+	if parent := n.settings.Dialect.ParentOf(told.ID); parent != "" && !told.Key.Sent() && stranger != call.ReasonNone {
+		// Calls bring no key: the request that they are made for did.
+		if _, made := n.visits.find(parent); !made {
+			return nil, n.refuse(call.NotRun, call.ReasonVisitClosed, 0)
+		}
 		whose, stranger = ownership{}, call.ReasonNone
 	}
 	if stranger != call.ReasonNone {
