node: a request begun before its turn keeps its head

Cause: the connection compares the head of what was begun with the one that net/http reads, and the node now takes headers out of a request before it passes it on, among them names that callers forge. So the two differed, each run was thrown away and made again in its turn. The begun request has a head of its own now.

--- a/node/ahead.go
+++ b/node/ahead.go
@@ -84,7 +84,11 @@
 		n.begun.Add(-1)
 		return nil
 	}
-	req := n.aheadRequest(r)
+	// The connection compares the head that was read here with the one that net/http
+	// reads, and headers are taken out of a request that is passed on.
+	own := *r
+	own.Header = r.Header.Clone()
+	req := n.aheadRequest(&own)
 	if req == nil {
 		n.begun.Add(-1)
 		return nil
--- a/node/ahead_test.go
+++ b/node/ahead_test.go
@@ -66,6 +66,30 @@
 	})
 }
 
+// Guards against runs that are thrown away since the node took headers out of a request
+// that was begun early: its key, and what callers forge.
+func TestRequestsBehindOneAnotherRunOnceWhateverTheirHeaders(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		var runs atomic.Int64
+		n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+			runs.Add(1)
+			time.Sleep(workTime)
+			echo(w, r, call)
+		})
+		f.settle()
+		f.c.Assert(n.OfferConfig(withCustomers(f.c, routedSet, 2)), qt.IsNil)
+		conn := f.stranger(n, OutboundListener)
+		defer conn.Close()
+		const count = 4
+		for i := range count {
+			_, err := io.WriteString(conn, "GET /browse/x HTTP/1.1\r\nHost: desk.example\r\nX-Id: r"+strconv.Itoa(i)+"\r\nX-Key: key-one\r\nX-Customer: forged\r\nPollengauge-Credit: 9\r\n\r\n")
+			f.c.Assert(err, qt.IsNil)
+		}
+		f.expectInOrder(bufio.NewReader(conn), count)
+		f.c.Check(runs.Load(), qt.Equals, int64(count))
+	})
+}
+
 // A filing stands behind two searches and before two others. Begun before its turn,
 // it could run and its caller then find the connection closed before its answer.
 // It has to wait until what stands before it is answered. Searches behind it may
