node, store: the node is given the platform's client, and imports none

The node made the client of the published protocol itself, and so imported a package of the platform's adapter. Settings.OpenPlatform makes it now; programs pass store.Open.

--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -92,6 +92,7 @@
 	s.Service = "service-" + strconv.Itoa(place%services)
 	s.Zone = "zone-" + strconv.Itoa(zone)
 	s.Region = "region-" + strconv.Itoa(zone/regionZones)
+	s.OpenPlatform = platformstore.Open
 	s.PlatformURL = f.store.url
 	if f.join.Gossip != "" {
 		s.PlatformURL = f.join.Platform
--- a/cmd/pollengauge/internal/cli/harness_test.go
+++ b/cmd/pollengauge/internal/cli/harness_test.go
@@ -13,6 +13,7 @@
 
 	"pollengauge.dev/cmd/pollengauge/internal/upstream"
 	"pollengauge.dev/node"
+	"pollengauge.dev/platform/store"
 	"pollengauge.dev/standin"
 )
 
@@ -45,6 +46,7 @@
 func startNode(c *qt.C, platformFlag, service string, peers []string, calls ...upstream.Call) *node.Node {
 	settings := node.DefaultSettings()
 	settings.Service = service
+	settings.OpenPlatform = store.Open
 	settings.PlatformURL = strings.TrimPrefix(platformFlag, "--platform=")
 	settings.Peers = peers
 	settings.GossipInterval = 50 * time.Millisecond
--- a/cmd/pollengauge/internal/cli/node.go
+++ b/cmd/pollengauge/internal/cli/node.go
@@ -9,6 +9,7 @@
 
 	"pollengauge.dev/node"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/platform/store"
 )
 
 // nodeCommand is what the flags of one run of "node" are bound to.
@@ -26,6 +27,7 @@
 		format:   string(observe.Logfmt),
 		severity: observe.Info.String(),
 	}
+	c.settings.OpenPlatform = store.Open
 	cmd := &cobra.Command{
 		Use:   "node",
 		Short: "Run the node beside an upstream",
--- a/demo/nodes.go
+++ b/demo/nodes.go
@@ -13,6 +13,7 @@
 	"pollengauge.dev/demo/upstream"
 	"pollengauge.dev/node"
 	"pollengauge.dev/objects"
+	"pollengauge.dev/platform/store"
 	"pollengauge.dev/standin"
 )
 
@@ -118,7 +119,7 @@
 	settings.Region = n.deployment.Region
 	settings.Slots = v.upstream.Workers()
 	settings.UpstreamConns = v.upstream.Connections()
-	settings.PlatformURL = n.platformAt
+	settings.PlatformURL, settings.OpenPlatform = n.platformAt, store.Open
 	settings.GossipInterval = gossipInterval
 	settings.DrainTimeout = drainTimeout
 	settings.Network = &zoneNetwork{delays: n.delays, zone: v.zone}
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -6,7 +6,6 @@
 
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/objects"
-	"pollengauge.dev/platform/store"
 )
 
 const (
@@ -39,7 +38,7 @@
 	if n.settings.PlatformURL == "" {
 		return nil
 	}
-	client, err := store.New(objects.Options{
+	client, err := n.settings.OpenPlatform(objects.Options{
 		Endpoint:     n.settings.PlatformURL,
 		ReadRate:     platformReads,
 		WriteRate:    platformWrites,
--- a/node/settings.go
+++ b/node/settings.go
@@ -38,6 +38,9 @@
 	// PlatformURL is the platform's object API. Empty means that the node
 	// lives from its peers alone.
 	PlatformURL string
+	// OpenPlatform makes the client of PlatformURL, as store.Open does for the
+	// published protocol. It is needed where there is a PlatformURL and no Store.
+	OpenPlatform func(objects.Options) (objects.Store, error)
 	// Peers are gossip addresses of other nodes, asked when the platform has
 	// none or is down. One that answers is enough.
 	Peers []string
@@ -197,6 +200,9 @@
 	c.optionalAddress("advertise-peer", s.AdvertisePeer)
 	c.optionalAddress("advertise-gossip", s.AdvertiseGossip)
 	c.platformURL("platform", s.PlatformURL)
+	if s.PlatformURL != "" && s.Store == nil && s.OpenPlatform == nil {
+		c.add("platform", strconv.Quote(s.PlatformURL), "empty, where the program has no client for it")
+	}
 	for _, peer := range s.Peers {
 		c.address("peers", peer)
 	}
