--- /dev/null
+++ b/config/customers_bench_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"runtime"
+	"strconv"
+	"testing"
+
+	"pollengauge.dev/customer"
+)
+
+// manyCustomers is a set with so many customers of ten keys.
+func manyCustomers(count int) Set {
+	set := Default()
+	set.Version = 1
+	for i := range count {
+		c := customer.Customer{Name: "customer" + strconv.Itoa(i), Rate: 10, Burst: 10}
+		for k := range 10 {
+			c.Keys = append(c.Keys, customer.DigestOf(strconv.Itoa(i)+"."+strconv.Itoa(k)))
+		}
+		set.Customers = append(set.Customers, c)
+	}
+	return set
+}
+
+// BenchmarkCustomersInForce is what a node spends on putting a version in force that a
+// peer passed on, and holds afterwards.
+func BenchmarkCustomersInForce(b *testing.B) {
+	for _, count := range []int{78, 20_000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			set := manyCustomers(count)
+			b.ReportAllocs()
+			var kept *Store
+			for i := range b.N {
+				set.Version = uint64(i) + 1
+				data, err := Encode(set)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.SetBytes(int64(len(data)))
+				kept = NewStore()
+				if _, err := kept.Offer(data, SourcePeer); err != nil {
+					b.Fatal(err)
+				}
+			}
+			runtime.GC()
+			var memory runtime.MemStats
+			runtime.ReadMemStats(&memory)
+			b.ReportMetric(float64(memory.HeapAlloc)/(1<<20), "MB-held")
+			runtime.KeepAlive(kept)
+		})
+	}
+}
--- a/node/quotawire.go
+++ b/node/quotawire.go
@@ -18,7 +18,7 @@
 const (
 	quotaFromHeader     = "Quota-From"
 	quotaCustomerHeader = "Quota-Customer"
-	// quotaLimitHeader has the rate, the burst and the version of the limit.
+	// The limit, and the version of the configuration that it is of.
 	quotaRateHeader    = "Quota-Rate"
 	quotaBurstHeader   = "Quota-Burst"
 	quotaVersionHeader = "Quota-Version"
