objects, platform: watches that hear nothing are noticed in time

Replayed with logs: the store drops its history at 7.0 s and its watches hear nothing; one of twelve watchers was in a short watch (0.8 s), which ended without an answer at 8.1, watched again in vain, listed at 9.4 and told all others; the other eleven were in long ones (5 s) until 11.2. Cause: short and long waits were drawn evenly, so a watcher spent a seventh of its time in short ones, and one time in six all twelve are in long ones; and a watch without an answer was followed by another one.

Now half of the time goes to short watches (all twelve in long ones: one in 4,000), and a watch without an answer is followed by a list. The tests failed before: share 0.15, and the change not seen. It costs some 4 more calls a second for twelve watchers.

--- a/objects/client.go
+++ b/objects/client.go
@@ -183,8 +183,9 @@
 
 // watchWait draws how long the next watch waits.
 func (c *Client) watchWait() time.Duration {
-	if c.options.ShortWatchWait > 0 && rand.IntN(2) == 0 {
-		return c.options.ShortWatchWait
+	short, long := c.options.ShortWatchWait, c.options.WatchWait
+	if short > 0 && rand.Int64N(int64(short+long)) < int64(long) {
+		return short
 	}
 	return c.options.WatchWait
 }
--- a/objects/client_test.go
+++ b/objects/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -382,3 +383,30 @@
 	}
 	c.Check(waits["1"] > 0 && waits["2"] > 0 && len(waits) == 2, qt.IsTrue, qt.Commentf("%v", waits))
 }
+
+// Of a dozen watchers whose long watches wait six times as long as their short ones,
+// nearly all were in a long one at any moment. As much time has to go to short ones.
+func TestWatchersSpendHalfOfTheirTimeInShortWatches(t *testing.T) {
+	c := qt.New(t)
+	var spent [2]time.Duration
+	const long, short = 60 * time.Millisecond, 10 * time.Millisecond
+	counted := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ms, err := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+		c.Check(err, qt.IsNil)
+		wait := time.Duration(ms) * time.Millisecond
+		if wait == long {
+			spent[0] += wait
+		} else {
+			spent[1] += wait
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer counted.Close()
+	client := newClient(c, objects.Options{Endpoint: counted.URL, ReadRate: rate.Inf, WatchWait: long, ShortWatchWait: short})
+	for range 2000 {
+		_, _, err := client.Watch(background, "kind", 0)
+		c.Assert(err, qt.IsNotNil)
+	}
+	share := float64(spent[1]) / float64(spent[0]+spent[1])
+	c.Check(share > 0.4 && share < 0.6, qt.IsTrue, qt.Commentf("%.2f", share))
+}
--- a/objects/options.go
+++ b/objects/options.go
@@ -31,13 +31,13 @@
 	// WatchWait is how long one watch waits for events. Longer saves calls
 	// (one per wait and watcher); shorter notices a dead connection sooner.
 	WatchWait time.Duration
-	// ShortWatchWait, if set, is how long every other watch waits, drawn by
-	// chance.
+	// ShortWatchWait, if set, is how long some watches wait, drawn by chance so that
+	// a watcher spends as much time in short ones as in long ones.
 	//
 	// The failure: an event answers all watchers, who ask again together, and
 	// then the platform drops their watches without an answer. All are silent
 	// until their waits have passed, and a change is known nowhere for so long.
-	// With half of them short, some of a handful of watchers ask again soon.
+	// With half of the time in short ones, some of a handful of watchers ask again soon.
 	ShortWatchWait time.Duration
 	// MaxAnswer bounds the bytes read of one answer. It must hold a page of a
 	// list; lower saves memory when the platform answers nonsense.
--- /dev/null
+++ b/objects/silent_test.go
@@ -0,0 +1,40 @@
+package objects
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// silentStore hears nothing in watches, while its objects change.
+type silentStore struct {
+	Store
+	lists int
+}
+
+func (s *silentStore) List(context.Context, string, string) ([]Object, uint64, error) {
+	s.lists++
+	return []Object{{Kind: "kind", Name: "one", Version: uint64(s.lists), Revision: uint64(s.lists), Value: []byte("{}")}}, uint64(s.lists), nil
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ string, _ uint64) ([]Event, uint64, error) {
+	Pause(ctx, time.Second)
+	return nil, 0, &UnavailableError{Op: OpWatch}
+}
+
+// The platform drops its history and hears nothing in watches for a while. A watcher that
+// only watched again after one without an answer learned of a change a second later.
+func TestSilentWatchIsFollowedByAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &silentStore{}
+		var seen []uint64
+		w := &Watcher{Store: store, Kind: "kind", Handle: func(e Event) { seen = append(seen, e.Object.Version) }}
+		ctx, cancel := context.WithTimeout(t.Context(), 1300*time.Millisecond)
+		defer cancel()
+		w.Run(ctx)
+		qt.New(t).Check(seen, qt.DeepEquals, []uint64{1, 2})
+	})
+}
--- a/objects/watcher.go
+++ b/objects/watcher.go
@@ -126,8 +126,9 @@
 		return 0
 	}
 	// Events that are gone, or too many for one answer, are so at each try from the
-	// same revision. A list has the newest state of each object alone.
-	if errors.As(err, new(*CompactedError)) || errors.As(err, new(*TooLargeError)) {
+	// same revision. A list has the newest state of each object alone. It is made
+	// after a watch without an answer as well: the next one may hear as little.
+	if errors.As(err, new(*CompactedError)) || errors.As(err, new(*TooLargeError)) || errors.As(err, new(*UnavailableError)) {
 		r.listed = false
 	}
 	if r.OnError != nil {
