--- a/node/customers_test.go
+++ b/node/customers_test.go
@@ -34,9 +34,7 @@
 	_, _ = io.WriteString(w, r.Header.Get("X-Customer")+"|"+r.Header.Get("X-Key")+r.Trailer.Get("X-Key"))
 }
 
-// Callers send keys, good and bad, and claim to be others. Each request runs under the
-// name of the customer whose key it brings, or not at all; no key goes further than the
-// node where it came in.
+// Guards against requests that run for another customer, or for none, and keys passed on.
 func TestRequestsRunForTheHolderOfTheirKey(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		front := f.addRouted("front", "front", 10, echo)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -360,9 +360,7 @@
 	return most
 }
 
-// The fleet is cut in parts, nodes and whole fleets restart, and views are late, while a
-// customer sends many times its limit through all nodes. No window holds more than the
-// users bear.
+// Guards against a window over the tolerance while the fleet is cut, restarts or is seen late.
 func TestNoWindowExceedsTheToleranceUnderFaults(t *testing.T) {
 	c := qt.New(t)
 	for seed := range uint64(40) {
