node, observe: requests are tracked until answered or cut; shutdown and exit leave lines

The new module node/inflight follows each request from the time it was read to its response or its cut. Event 4030 gives the request, the cause and its age for each one that this node cuts, pollengauge_requests_cut_total counts them by cause, 1021 logs the begin of a shutdown, 1023 its progress once a second, 1022 the exit with a balance of all requests read (read = answered + cut + open).

TestEachRequestThatIsCutLeavesALine and TestExitAccountsForAllRequests fail without it, as there is no such line.

--- a/node/drain.go
+++ b/node/drain.go
@@ -61,6 +61,11 @@
 func (n *Node) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.adjusted.Load().DrainTimeout)
 	defer cancel()
+	began := n.now()
+	n.log.Emit(observe.ShutdownBegun, observe.Int64("open", n.inflight.Counts().Open),
+		observe.Dur("drain_timeout", n.adjusted.Load().DrainTimeout))
+	defer func() { n.logExit(n.now().Sub(began)) }()
+	n.done.Go(func() { n.logDrainProgress(ctx) })
 	n.ending.Store(true)
 	if n.usesDialect() {
 		return n.shutdownWithDialect(ctx)
@@ -114,6 +119,7 @@
 	for busy() {
 		select {
 		case <-ctx.Done():
+			n.drainTimedOut.Store(true)
 			remaining := inFlight()
 			n.log.Emit(observe.DrainTimeout, observe.Int("in_flight", remaining))
 			return &DrainError{InFlight: remaining}
--- a/node/edge.go
+++ b/node/edge.go
@@ -148,7 +148,7 @@
 
 // abort breaks the caller's connection when the rest of an answer can't be delivered.
 func (n *Node) abort(req *request, err error) {
-	n.noteAbort(req, err)
+	n.cutAnswer(req.tracked, req, err)
 	if n.settings.Ablate.NoAbort {
 		return
 	}
--- a/node/guard.go
+++ b/node/guard.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/node/inflight"
 	"pollengauge.dev/observe"
 )
 
@@ -74,6 +75,7 @@
 func (n *Node) guard(listener Listener, next http.Handler) http.Handler {
 	limit := n.headLimitOf(listener)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tracked := n.track(listener, r)
 		defer n.recoverPanic(listener, w, r)
 		if conn := connOf(r); conn != nil {
 			conn.Serve(r)
@@ -93,6 +95,7 @@
 		default:
 			n.answerBadRequest(w, r, err)
 		}
+		tracked.Answered()
 	})
 }
 
@@ -108,6 +111,8 @@
 		n.metrics.Panics.Inc(1)
 		n.log.Emit(observe.PanicRecovered, observe.Str("listener", string(listener)), observe.Str("stack", string(debug.Stack())))
 	}
+	// A handler that closed the connection on purpose has recorded the cause.
+	n.cut(trackedOf(r), inflight.Fault)
 	resetHTTP10Conn(w, r)
 	panic(http.ErrAbortHandler)
 }
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -108,6 +108,7 @@
 		MaxHeaderBytes: n.settings.MaxHeaderBytes + 2*nodeHeaderBytes,
 		ErrorLog:       n.serverLog(name),
 		ConnState:      n.connState(name, conns),
+		ConnContext:    withServedConn,
 		// "OPTIONS *" gets an outcome like any other request.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -117,7 +118,6 @@
 	listener := limitListener(n.listeners[name], conns)
 	if n.forCallers(name) {
 		listener = n.pipelined(listener)
-		server.ConnContext = withConn
 	}
 	n.servers = append(n.servers, server)
 	n.done.Go(func() {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/membership"
+	"pollengauge.dev/node/inflight"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 	"pollengauge.dev/retry"
@@ -99,11 +100,15 @@
 	listeners map[Listener]net.Listener
 	servers   []*http.Server
 	active    atomic.Int64
+	// inflight tracks the requests of all listeners but the admin listener.
+	inflight inflight.Registry
 	// earlyRuns counts the pipelined requests that were started before their turn.
 	earlyRuns atomic.Int64
 	draining  atomic.Bool
 	// ending is set once the process has begun to shut down.
 	ending atomic.Bool
+	// drainTimedOut is set once the time of the drain was over with requests open.
+	drainTimedOut atomic.Bool
 	// closed is set once the node refuses all new requests.
 	closed atomic.Bool
 	// ownSlots are the slots of the upstream on this VM. joined is set once the node has
@@ -277,6 +282,7 @@
 	if n.stop != nil {
 		n.stop()
 	}
+	n.cutOpen(n.closeCause())
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
--- a/node/operations_test.go
+++ b/node/operations_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,13 @@
 	return b.bytes.Write(p)
 }
 
+// all returns all lines.
+func (b *logBuffer) all() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(strings.Lines(b.bytes.String()))
+}
+
 // about returns the lines that name a request.
 func (b *logBuffer) about(id string) []string {
 	b.mu.Lock()
--- a/node/peer.go
+++ b/node/peer.go
@@ -47,6 +47,7 @@
 		n.answerBadRequest(w, r, err)
 		return
 	}
+	trackedOf(r).SetID(c.RequestID)
 	service := r.Host
 	if service != n.settings.Service && n.usesDialect() {
 		// The address now belongs to another VM than the sender assumes.
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -22,12 +22,12 @@
 // pipelined returns a listener whose connections read ahead and start pipelined
 // requests before their turn.
 func (n *Node) pipelined(l net.Listener) net.Listener {
-	return &pipelinedListener{Listener: l, begin: n.startEarly}
+	return &pipelinedListener{Listener: l, handlers: pipelining.Handlers{Begin: n.startEarly, Abandoned: n.cutUnserved}}
 }
 
 type pipelinedListener struct {
 	net.Listener
-	begin pipelining.Begin
+	handlers pipelining.Handlers
 }
 
 // Accept implements net.Listener.
@@ -36,20 +36,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return pipelining.New(conn, l.begin), nil
-}
-
-// connKey is the key of the connection in a request's context.
-type connKey struct{}
-
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return pipelining.New(conn, l.handlers), nil
 }
 
 // connOf returns the connection of a caller's request, nil for other requests.
 func connOf(r *http.Request) *pipelining.Conn {
-	conn, _ := r.Context().Value(connKey{}).(*pipelining.Conn)
-	return conn
+	if served := servedConnOf(r); served != nil {
+		return served.pipelined
+	}
+	return nil
 }
 
 // takeEarlyRun takes from the connection the run of a request that was started before its
@@ -174,6 +169,8 @@
 	defer stop()
 	<-run.done
 	defer run.end()
+	run.req.tracked = trackedOf(r)
+	run.req.tracked.SetID(run.req.call.RequestID)
 	n.logLateTurn(run, turn)
 	n.writeRoot(w, run.req, run.answer)
 }
--- a/node/pipelining/ahead.go
+++ b/node/pipelining/ahead.go
@@ -32,6 +32,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = true
+	defer c.noteWaiting()
 	if len(c.queue) == 0 {
 		// Requests queued behind one that may change something may depend on it (RFC
 		// 9112, 9.3.2: in parallel only if all methods are safe).
@@ -140,7 +141,7 @@
 			c.earlyCtx, c.cancelEarly = context.WithCancel(context.Background())
 		}
 		r.RemoteAddr = c.RemoteAddr().String()
-		answer := c.begin(c.earlyCtx, r)
+		answer := c.handlers.Begin(c.earlyCtx, r)
 		if answer == nil {
 			c.nextWaits = true // and so must all requests queued behind it
 			return
--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -14,7 +15,7 @@
 // and the end of the connection is noticed while a request is being served.
 type Conn struct {
 	net.Conn
-	begin Begin
+	handlers Handlers
 
 	mu sync.Mutex
 	// changed is signalled on every change of state that a waiting Read depends on.
@@ -38,12 +39,14 @@
 	// pumping is set once a goroutine reads the socket. unread holds the bytes that
 	// were received but not yet read by net/http, and readErr the error that ended
 	// the reading.
-	pumping  bool
-	unread   []byte
-	readErr  error
-	closed   bool
-	deadline time.Time
-	timer    *time.Timer
+	pumping bool
+	unread  []byte
+	readErr error
+	// waitingSince is when the oldest bytes behind the request being served arrived.
+	waitingSince time.Time
+	closed       bool
+	deadline     time.Time
+	timer        *time.Timer
 	// earlyCtx is the context of the requests that were started early. It is created
 	// with the first of them and cancelled when the connection ends or the read-ahead
 	// is given up.
@@ -51,9 +54,20 @@
 	cancelEarly context.CancelFunc
 }
 
+// Handlers are the functions that a Conn calls while it is locked. They must not block
+// or call the Conn.
+type Handlers struct {
+	// Begin starts a request before its turn.
+	Begin Begin
+	// Abandoned is called when the connection closes with a request that was read
+	// completely and not served, unless the caller closed the connection. received is the
+	// time since when the connection holds the request, or one before it.
+	Abandoned func(r *http.Request, received time.Time)
+}
+
 // New returns a Conn that wraps conn.
-func New(conn net.Conn, begin Begin) *Conn {
-	c := &Conn{Conn: conn, begin: begin}
+func New(conn net.Conn, handlers Handlers) *Conn {
+	c := &Conn{Conn: conn, handlers: handlers}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -97,6 +111,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
+	c.reportAbandoned()
 	c.closed = true
 	c.dropEarly()
 	if c.timer != nil {
--- a/node/pipelining/conn_test.go
+++ b/node/pipelining/conn_test.go
@@ -41,12 +41,12 @@
 		c := qt.New(t)
 		caller, socket := net.Pipe()
 		turns := &pipelinedSearches{caller: caller}
-		turns.conn = New(socket, func(ctx context.Context, _ *http.Request) Answer {
+		turns.conn = New(socket, Handlers{Begin: func(ctx context.Context, _ *http.Request) Answer {
 			one := &early{}
 			turns.begun = append(turns.begun, one)
 			turns.earlyCtx = ctx
 			return one
-		})
+		}})
 		defer turns.conn.Close()
 		defer caller.Close()
 		turns.read = bufio.NewReader(turns.conn)
--- a/node/pipelining/fuzz_test.go
+++ b/node/pipelining/fuzz_test.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return New(conn, l.begin), nil
+	return New(conn, Handlers{Begin: l.begin}), nil
 }
 
 // cut splits a stream into pieces; the length of each piece is one more than a byte
--- a/node/pipelining/read.go
+++ b/node/pipelining/read.go
@@ -54,6 +54,7 @@
 		c.readErr = err
 	}
 	c.lookAhead()
+	c.noteWaiting()
 	if !c.pumping {
 		c.startPump()
 	}
@@ -96,6 +97,7 @@
 	c.unread = append(c.unread, p...)
 	c.split.add(p)
 	c.lookAhead()
+	c.noteWaiting()
 	if err != nil {
 		c.readErr = err
 		c.dropEarly()
--- a/node/request.go
+++ b/node/request.go
@@ -7,6 +7,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/node/inflight"
 )
 
 // request is one call that a node carries.
@@ -43,6 +44,10 @@
 	// parent is the visit that makes this call, nil if it is unknown.
 	parent *visit
 	span   span
+	// tracked is the entry of this request in the registry of requests that are being
+	// served. It is nil before a pipelined request's turn, and for calls of the node
+	// itself.
+	tracked *inflight.Request
 	// ownerHops counts how often the call was forwarded in search of the node that owns
 	// its key.
 	ownerHops int
@@ -79,6 +84,7 @@
 		body:       body,
 		trailer:    r.Trailer,
 		profile:    profile,
+		tracked:    trackedOf(r),
 		idempotent: idempotentMethod(r.Method, profile),
 	}, nil
 }
--- a/node/root_request.go
+++ b/node/root_request.go
@@ -29,19 +29,21 @@
 	if reason != call.ReasonNone {
 		return nil, &IdentityError{Reason: reason}
 	}
+	id := r.Header.Get(headerRequestID)
+	callerSetID := call.ValidToken(id, call.MaxShortIDLength)
+	if !callerSetID {
+		id = n.newRequestID()
+	}
+	trackedOf(r).SetID(id)
 	req, err := n.readRequest(w, r, service, profile)
 	if err != nil {
 		return nil, err
 	}
 	req.identity = identity
+	req.callerSetID = callerSetID
 	if req.key, err = keyOf(r.Header); err != nil {
 		return nil, err
 	}
-	id := r.Header.Get(headerRequestID)
-	req.callerSetID = call.ValidToken(id, call.MaxShortIDLength)
-	if !req.callerSetID {
-		id = n.newRequestID()
-	}
 	timeout := time.Duration(profile.Deadline)
 	req.deadline = n.now().Add(timeout)
 	req.call = call.Context{
--- a/node/routed.go
+++ b/node/routed.go
@@ -88,7 +88,7 @@
 	req := &request{call: call.Context{RequestID: id}}
 	n.finishRefusal(a, req)
 	if err := writeAnswer(w, a); err != nil {
-		n.noteAbort(req, err)
+		n.cutAnswer(trackedOf(r), req, err)
 	}
 }
 
@@ -105,6 +105,7 @@
 	if err != nil {
 		return nil, n.refuse(call.NotRun, n.logBadRequest(err), 0)
 	}
+	trackedOf(r).SetID(stated.ID)
 	current := n.config.Current()
 	route := current.Route(hostOf(r.Host), rawPath(r))
 	if route == nil {
--- a/observe/event.go
+++ b/observe/event.go
@@ -61,8 +61,8 @@
 	return e
 }
 
-// defineDecision defines an event with its own rate limit, in lines per second.
-func defineDecision(id int, name string, severity Severity, rate float64, meaning, action string) Event {
+// defineLimited defines an event with its own rate limit, in lines per second.
+func defineLimited(id int, name string, severity Severity, rate float64, meaning, action string) Event {
 	e := Event{ID: id, Name: name, Level: severity, Meaning: meaning, Action: action, Rate: rate, Burst: rate * decisionBurstSeconds}
 	eventCatalogue = append(eventCatalogue, e)
 	return e
--- a/observe/events.go
+++ b/observe/events.go
@@ -21,6 +21,9 @@
 	SettingsRefused     = defineEvent(1017, "settings-refused", Error, "The settings file changed and can't be used; the last settings stay in force.", "Correct the file; it is read again at its next change.")
 	SettingsKept        = defineEvent(1018, "settings-kept", Warn, "A setting changed that is read at the start only.", "Restart the node to apply it.")
 	UpstreamEnded       = defineEvent(1020, "upstream-ended", Warn, "The upstream crashed while it was running calls: nothing listens at its address any more.", "Read the upstream's last log lines; look for a fingerprint that recurs in records with the reason upstream-ended.")
+	ShutdownBegun       = defineEvent(1021, "shutdown-begun", Info, "The process was told to exit and begins its drain. The line gives the requests that are being served and the time that the drain may take.", noAction)
+	ProcessEnds         = defineEvent(1022, "process-ends", Info, "The process exits. The line accounts for all requests that it has read: answered, cut, and open. An incarnation (the field node) whose log has no such line was killed, or its last lines were lost.", "None, if no request is cut or open; otherwise read the lines of event 4030 before it.")
+	DrainProgress       = defineEvent(1023, "drain-progress", Info, "A drain is under way. Logged once a second: the requests that are being served, the oldest of them and its age, and the time left.", "None; after a kill, the last such line shows what the process held.")
 	TraceExportFailed   = defineEvent(1014, "trace-export-failed", Warn, "Spans could not be sent to the collector.", "See whether the collector is up; calls are not affected.")
 )
 
@@ -118,9 +121,9 @@
 // Decisions about requests. Each line has the request's id, the figures behind
 // the decision, and the outcome.
 var (
-	DecisionAdmitted = defineDecision(8001, "decision-admitted", Info, routineLinesPerSecond, "A step of a request ran at once. Logged for a sample of the requests, the same at each node.", noAction)
-	DecisionDelayed  = defineDecision(8002, "decision-delayed", Info, routineLinesPerSecond, "A step of a request ran after a wait in the queue. Logged for the same sample.", noAction)
-	DecisionRefused  = defineDecision(8003, "decision-refused", Info, refusalLinesPerSecond, "A step of a request was refused and did not run.", "Read the reason; pollengauge explain and docs/OPERATIONS.md tell what to do about each.")
-	DecisionUnknown  = defineDecision(8004, "decision-unknown", Warn, refusalLinesPerSecond, "A step of a request was sent and has no known outcome.", "Follow the request's id to the node named as the target.")
+	DecisionAdmitted = defineLimited(8001, "decision-admitted", Info, routineLinesPerSecond, "A step of a request ran at once. Logged for a sample of the requests, the same at each node.", noAction)
+	DecisionDelayed  = defineLimited(8002, "decision-delayed", Info, routineLinesPerSecond, "A step of a request ran after a wait in the queue. Logged for the same sample.", noAction)
+	DecisionRefused  = defineLimited(8003, "decision-refused", Info, refusalLinesPerSecond, "A step of a request was refused and did not run.", "Read the reason; pollengauge explain and docs/OPERATIONS.md tell what to do about each.")
+	DecisionUnknown  = defineLimited(8004, "decision-unknown", Warn, refusalLinesPerSecond, "A step of a request was sent and has no known outcome.", "Follow the request's id to the node named as the target.")
 	LinesDropped     = defineEvent(8009, "lines-dropped", Warn, "The log's reader was too slow; the line gives the number of lines that were dropped.", "See whether the reader has stopped; the metrics are complete.")
 )
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -56,6 +56,9 @@
 
 	RootsWithoutContext, ForgedHeaders, Panics, Begun metrics.Counter
 	Malformed, Unrouted                               Counters
+	// RequestsCut counts requests whose connection closed without a complete response, by
+	// cause.
+	RequestsCut Counters
 	// Strangers counts requests without the key of a customer, by reason.
 	Strangers Counters
 	// Quotas counts requests of customers with a limit, by result of the check.
@@ -149,6 +152,7 @@
 	m.ForgedHeaders = m.counters(forgedMetric).With()
 	m.Malformed = m.counters(malformedMetric)
 	m.Unrouted = m.counters(unroutedMetric)
+	m.RequestsCut = m.counters(requestsCutMetric)
 	m.Strangers = m.counters(unauthenticatedMetric)
 	m.Quotas = m.counters(quotasMetric)
 	m.Panics = m.counters(panicsMetric).With()
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -88,6 +88,7 @@
 	m.LogLinesLost.With("dropped").Inc(1)
 	m.Malformed.With("gossip").Inc(1)
 	m.Unrouted.With("no-route").Inc(1)
+	m.RequestsCut.With("shutdown").Inc(1)
 	m.Strangers.With("unauthorized").Inc(1)
 	m.Quotas.With("taken").Inc(1)
 	m.Spans.With("dropped").Inc(1)
