soak, node, platform: tests that show requests ending without a response

- TestPlannedWorkLosesNoRequest: the soak sends SIGTERM in turn, repeats it, sends SIGHUP inside drains and changes the configuration, while customers keep their connections: single requests, pipelined ones, uploads, slow readers.
- TestProcessOutlivesTheReaderOfItsLog: a sidecar whose log reader exits is killed by SIGPIPE with its next line ('signal: broken pipe'), and with it all it serves.
- The others show in virtual time, or on one socket, further ways in which a request can end without a response: the drain timeout, the exit while a response is being written, a close with unread bytes, an idle close that crosses a request, a reserve too long for a short grace period, and calls refused in a drain.

--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -26,6 +26,9 @@
 	// timed enables the checks that depend on elapsed time. They need a machine
 	// that is not busy with other work.
 	timed bool
+	// planned is true where all faults are planned work, which must not end any request
+	// without a response.
+	planned bool
 }
 
 // violation is one broken promise.
@@ -51,6 +54,9 @@
 	j.incompleteUploadsDoNotRun()
 	j.memoryIsBounded()
 	j.foreignEntriesStay()
+	if t.planned {
+		j.requestsEndWithAnAnswer()
+	}
 	if t.timed {
 		j.drainingUpstreamsGetNothing()
 		j.retriesAreBounded()
--- a/cmd/pollengauge/soak/pipeline_test.go
+++ b/cmd/pollengauge/soak/pipeline_test.go
@@ -23,6 +23,8 @@
 	// announced that the connection closes.
 	answered int
 	closes   bool
+	// sentAt is when the last byte was sent.
+	sentAt time.Time
 	// extra counts the bytes received after the last response.
 	extra int
 }
@@ -33,6 +35,8 @@
 	batchWait     = 2 * customerDeadline
 	batchPause    = 150 * time.Millisecond
 	unsafeShare   = 0.2
+	// longShare is the share of pipelined requests that take long during planned work.
+	longShare = 0.15
 	// extraWait is how long the customer waits for unsolicited bytes.
 	extraWait = 2 * lateExtra
 )
@@ -44,7 +48,7 @@
 	defer func() { closeConn(conn) }()
 	for ctx.Err() == nil {
 		if conn == nil {
-			conn, _ = net.DialTimeout("tcp", v.at(portCustomerProxy), time.Second)
+			conn, _ = net.DialTimeout("tcp", v.at(f.customerPort()), time.Second)
 		}
 		if conn != nil && !f.sendBatch(conn, v) {
 			closeConn(conn)
@@ -67,11 +71,14 @@
 	var text bytes.Buffer
 	start := time.Now()
 	for range 2 + rand.IntN(mostPipelined-1) {
-		s := sent{id: newID(), vm: v.number, at: start, method: http.MethodGet, path: pathBrowse, origin: v.upstream.service}
+		s := sent{id: newID(), vm: v.number, at: start, method: http.MethodGet, path: pathBrowse, origin: v.upstream.service, wait: customerDeadline}
 		if rand.Float64() < unsafeShare {
 			s.method, s.path, s.unsafe = http.MethodPost, pathFile, true
 			s.body = strings.Repeat(s.id, 1+rand.IntN(20))
 		}
+		if f.terms.planned && rand.Float64() < longShare {
+			s.path += longWorkPart
+		}
 		s.path += s.id
 		s.chooseTenant()
 		b.ids = append(b.ids, s.id)
@@ -82,6 +89,7 @@
 	if _, err := conn.Write(text.Bytes()); err != nil {
 		return false
 	}
+	b.sentAt = time.Now()
 	usable := f.readBatch(conn, v, &b, start)
 	add(f.record, &f.record.batches, b)
 	return usable
@@ -99,15 +107,16 @@
 	reader := bufio.NewReader(conn)
 	for i, id := range b.ids {
 		a := readAnswer(reader, id, v.number, start)
+		a.sentAt = b.sentAt
 		add(f.record, &f.record.answers, a)
 		if !a.complete {
-			f.recordUnanswered(b.ids[i+1:], v, start)
+			f.recordUnanswered(b.ids[i+1:], v, start, b.sentAt, a.failure)
 			return false
 		}
 		b.answered++
 		if a.closes {
 			b.closes = true
-			f.recordUnanswered(b.ids[i+1:], v, start)
+			f.recordUnanswered(b.ids[i+1:], v, start, b.sentAt, behindClose)
 			b.extra = countUnsolicited(conn, reader)
 			return false
 		}
@@ -116,9 +125,13 @@
 	return b.extra == 0
 }
 
-func (f *fleet) recordUnanswered(ids []string, v *vm, start time.Time) {
+// behindClose is the failure of a request behind a response that announced that the
+// connection closes.
+const behindClose = "behind a response that closed the connection"
+
+func (f *fleet) recordUnanswered(ids []string, v *vm, start, sentAt time.Time, failure string) {
 	for _, id := range ids {
-		add(f.record, &f.record.answers, answered{id: id, vm: v.number, at: time.Now(), took: time.Since(start)})
+		add(f.record, &f.record.answers, answered{id: id, vm: v.number, at: time.Now(), took: time.Since(start), sentAt: sentAt, failure: failure})
 	}
 }
 
@@ -126,7 +139,7 @@
 func readAnswer(reader *bufio.Reader, id string, vm int, start time.Time) answered {
 	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		return answered{id: id, vm: vm, at: time.Now(), took: time.Since(start)}
+		return answered{id: id, vm: vm, at: time.Now(), took: time.Since(start), failure: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -11,7 +11,7 @@
 var plantedTerms = terms{
 	allowed:  map[string][]string{"/file/": {"filing"}, pathBrowse: {"web"}, "/probe/": {"web", "filing"}},
 	attempts: 2, timeout: time.Second, drain: 2 * time.Second,
-	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: true,
+	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: true, planned: true,
 }
 
 // sound returns a record without violations: one request that was served correctly.
@@ -122,6 +122,14 @@
 				r.runs = append(r.runs, run{id: id, at: at.Add(time.Duration(i) * 2 * time.Second), vm: 1, service: "web", instance: "i-2", method: "GET", path: pathBrowse + fatalPart, origin: "web", executed: true})
 			}
 		}},
+		{"request that ran and got no response", "lost", func(r *record) {
+			r.sent[0].wait = time.Second
+			r.answers[0] = answered{id: "a", vm: 1, at: at, took: time.Millisecond, failure: "EOF"}
+		}},
+		{"request that was read and got no response", "lost", func(r *record) {
+			r.sent[0].wait, r.runs = time.Second, nil
+			r.answers[0] = answered{id: "a", vm: 1, at: at.Add(2 * lostAfter), took: 2 * lostAfter, sentAt: at, failure: "EOF"}
+		}},
 		{"entry of another writer is overwritten", "foreign", func(r *record) { r.entries = []entry{{kind: "config", name: "x", wrote: "7", found: "8"}} }},
 		{"entry of another writer is gone", "foreign", func(r *record) { r.entries = []entry{{kind: "config", name: "x", wrote: "7"}} }},
 		{"refused in one zone, run in both", "once", func(r *record) {
@@ -212,6 +220,19 @@
 	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
 }
 
+// A request may cross the close of its connection, if no upstream receives it, and a
+// customer may give up.
+func TestRequestsThatCrossACloseAreNoFindings(t *testing.T) {
+	c := qt.New(t)
+	at := time.Unix(1000, 0)
+	r := sound(at)
+	r.sent[0].wait, r.runs = time.Second, nil
+	r.answers[0] = answered{id: "a", vm: 1, at: at.Add(lostAfter / 2), took: lostAfter / 2, sentAt: at, failure: "EOF"}
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+	r.answers[0].took = time.Second
+	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
+}
+
 // A request that is refused in one zone may run in the other after its customer sends
 // it again there.
 func TestMovesAreNoFindings(t *testing.T) {
--- a/cmd/pollengauge/soak/record_test.go
+++ b/cmd/pollengauge/soak/record_test.go
@@ -21,6 +21,9 @@
 	keyUnknown  bool
 	// incomplete is true if a part of the body was never sent.
 	incomplete bool
+	// wait is how long a customer waits for the response. It is 0 where that is not
+	// recorded.
+	wait time.Duration
 	// origin is the service of the VM from which the request was sent.
 	origin string
 }
@@ -65,6 +68,10 @@
 	closes bool
 	// complete is false if the body was incomplete or no response came.
 	complete bool
+	// failure is the error that ended an exchange without a complete response.
+	failure string
+	// sentAt is when the last byte of the request was sent, zero if not recorded.
+	sentAt time.Time
 }
 
 // drainNotice is an acknowledged heartbeat by which an incarnation of an upstream announced
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -179,9 +179,9 @@
 		i.crashTemporarily()
 		panic(http.ErrAbortHandler)
 	}
-	x.status = i.execute(ctx, x.id)
+	x.status = i.execute(ctx, x.id, x.path)
 	x.signature = signature(x.id, i.instance, i.count.Add(1))
-	x.answer = strings.Repeat(x.signature, 1+rand.IntN(200))
+	x.answer = strings.Repeat(x.signature, 1+rand.IntN(answerUnits(x.path)))
 	// The run is recorded before the response is sent, so that no response is
 	// recorded without its run.
 	add(i.record, &i.record.runs, x)
@@ -200,11 +200,11 @@
 }
 
 // execute simulates the work, makes the planned calls and returns the status.
-func (i *incarnation) execute(ctx context.Context, id string) int {
+func (i *incarnation) execute(ctx context.Context, id, path string) int {
 	select {
 	case <-ctx.Done():
 		return http.StatusGatewayTimeout
-	case <-time.After(time.Duration(i.work.Load())):
+	case <-time.After(workOf(path, time.Duration(i.work.Load()))):
 	}
 	for _, c := range i.calls {
 		for range c.times {
@@ -252,7 +252,7 @@
 	start := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
-		return answered{id: id, vm: vm, at: time.Now(), took: time.Since(start)}
+		return answered{id: id, vm: vm, at: time.Now(), took: time.Since(start), failure: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
@@ -262,8 +262,12 @@
 // newAnswered returns the record of a response, where err is the error from reading its
 // body.
 func newAnswered(id string, vm int, start time.Time, resp *http.Response, body []byte, err error) answered {
-	return answered{
+	a := answered{
 		id: id, vm: vm, at: time.Now(), took: time.Since(start), status: resp.StatusCode, closes: resp.Close,
 		signature: resp.Header.Get(headerSignature), echo: resp.Header.Get(headerID), body: string(body), complete: err == nil,
 	}
+	if err != nil {
+		a.failure = err.Error()
+	}
+	return a
 }
--- a/cmd/pollengauge/soak/vm_test.go
+++ b/cmd/pollengauge/soak/vm_test.go
@@ -46,6 +46,11 @@
 		return nil, err
 	}
 	defer func() { _ = out.Close() }()
+	return startProgramTo(out, args...)
+}
+
+// startProgramTo starts the real command line with its output in an open file.
+func startProgramTo(out *os.File, args ...string) (*os.Process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
