cli, observe: a closed log pipe no longer kills the process

What callers saw: when the program that reads a sidecar's log exits or restarts, the sidecar's next line ends the process by SIGPIPE. All its connections close at once, with every request on them, and nothing is logged.

Cause: the Go runtime lets a write to a broken pipe on descriptor 1 or 2 kill the process unless SIGPIPE is handled.

The commands that serve requests ignore SIGPIPE; the operator's commands still end quietly in a pipeline. A failed write counts its lines as dropped (TestLinesThatCanNotBeWrittenAreCounted, which failed with 0), so that pollengauge_log_lines_lost_total shows the loss.

--- a/cmd/pollengauge/internal/cli/cli.go
+++ b/cmd/pollengauge/internal/cli/cli.go
@@ -28,6 +28,11 @@
 	return run(ctx, args, stdin, stdout, stderr)
 }
 
+// ignoreBrokenLog keeps a process that serves requests alive when the reader of its log
+// exits. By default a write to a closed pipe on standard output or standard error ends
+// a Go process by SIGPIPE, which closes all its connections.
+func ignoreBrokenLog() { signal.Ignore(syscall.SIGPIPE) }
+
 // run is Main without signal handling: cancelling ctx stops the command.
 func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	root := newRoot()
--- a/cmd/pollengauge/internal/cli/node.go
+++ b/cmd/pollengauge/internal/cli/node.go
@@ -64,6 +64,7 @@
 		return err
 	}
 	if !c.checkOnly {
+		ignoreBrokenLog()
 		return runNode(cmd.Context(), c.settings)
 	}
 	out := &printer{w: cmd.OutOrStdout()}
--- a/cmd/pollengauge/internal/cli/sidecar.go
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -34,6 +34,7 @@
 				out.text("settings are usable\n")
 				return out.result()
 			}
+			ignoreBrokenLog()
 			lines := observe.NewLineWriter(cmd.OutOrStdout(), 0, 0)
 			defer lines.Close(logFlushTimeout)
 			log, err := observe.NewLogger(observe.LoggerConfig{Output: lines, Format: observe.Logfmt})
--- a/observe/linewriter.go
+++ b/observe/linewriter.go
@@ -1,6 +1,7 @@
 package observe
 
 import (
+	"bytes"
 	"io"
 	"strconv"
 	"sync"
@@ -102,8 +103,10 @@
 	for range w.wake {
 		batch = w.take(batch[:0])
 		if len(batch) > 0 {
-			// An error of the log output can't be reported anywhere, so it is ignored.
-			_, _ = w.output.Write(batch)
+			if _, err := w.output.Write(batch); err != nil {
+				// The error itself can't be logged; the lines count as dropped.
+				w.countDropped(bytes.Count(batch, []byte{'\n'}))
+			}
 		}
 		if w.finished() {
 			return
@@ -112,6 +115,13 @@
 	}
 }
 
+func (w *LineWriter) countDropped(lines int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreported += int64(lines)
+	w.totalDropped += int64(lines)
+}
+
 // take appends the pending lines to batch and clears them. If lines were dropped,
 // a line with their number comes first.
 func (w *LineWriter) take(batch []byte) []byte {
--- a/observe/linewriter_test.go
+++ b/observe/linewriter_test.go
@@ -53,3 +53,19 @@
 		_ = reader.Close()
 	})
 }
+
+// errorWriter is an output whose reader has exited.
+type errorWriter struct{}
+
+func (errorWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against a log whose reader has exited and whose lost lines nothing counts.
+func TestLinesThatCanNotBeWrittenAreCounted(t *testing.T) {
+	c := qt.New(t)
+	w := NewLineWriter(errorWriter{}, 0, time.Millisecond)
+	for range 3 {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	w.Close(time.Second)
+	c.Check(w.Dropped(), qt.Equals, int64(3))
+}
