platform, node: the drain's times follow from the grace period

What callers saw: with a grace period under six seconds, a drain ended up to a second before it, so that requests were cut earlier than in its last sixth, and a drain of 2.5 s or less spent all of its time accepting requests and then cut them.

Cause: the reserve of a second and the accept time of 2.5 s were constants.

--- a/node/ending.go
+++ b/node/ending.go
@@ -37,9 +37,10 @@
 // then announces the drain, and refuses all new requests after shutdownAcceptTime.
 // Requests accepted before are completed if ctx allows it.
 func (n *Node) shutdownWithDialect(ctx context.Context) error {
-	objects.Pause(ctx, shutdownDrainDelay)
+	drainDelay, acceptTime := shutdownTimes(n.adjusted.Load().DrainTimeout)
+	objects.Pause(ctx, drainDelay)
 	n.SetDraining(true)
-	objects.Pause(ctx, shutdownAcceptTime-shutdownDrainDelay)
+	objects.Pause(ctx, acceptTime-drainDelay)
 	n.closed.Store(true)
 	err := n.awaitNoActive(ctx)
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
@@ -54,6 +55,14 @@
 	return err
 }
 
+// shutdownTimes returns shutdownDrainDelay and shutdownAcceptTime for a drain that may take
+// drainTimeout. In a short drain both are shorter, so that at least half of it is left to
+// the requests that were accepted last.
+func shutdownTimes(drainTimeout time.Duration) (drainDelay, acceptTime time.Duration) {
+	acceptTime = min(shutdownAcceptTime, drainTimeout/2)
+	return shutdownDrainDelay * acceptTime / shutdownAcceptTime, acceptTime
+}
+
 // awaitNoActive waits until no request of any kind is in this node.
 func (n *Node) awaitNoActive(ctx context.Context) error {
 	active := func() int { return int(n.active.Load()) }
