node: calls of accepted requests are carried until the end of a drain

Cause: after the accept time the node refused all new requests on the outbound listener, and with a dialect calls of the upstream come in there too. A drain completes what it has accepted, so calls whose visit is open are now carried; all others stay refused, as does a call after its visit.

Evidence: TestCallsOfAcceptedRequestsAreCarriedInADrain failed (the call got 503) and passes, 40 times of 40.

--- a/node/routed.go
+++ b/node/routed.go
@@ -94,7 +94,7 @@
 
 // routedRequest reads a request and finds its route, or returns the refusal.
 func (n *Node) routedRequest(w http.ResponseWriter, r *http.Request) (*request, *answer) {
-	if n.closed.Load() {
+	if n.closed.Load() && !n.madeForOpenVisit(r) {
 		return nil, n.refuse(call.NotRun, call.ReasonDraining, shutdownRetry)
 	}
 	if !n.config.Status().HasStoredSet {
@@ -155,6 +155,18 @@
 	return req, nil
 }
 
+// madeForOpenVisit reports whether a request is a call that the upstream on this VM makes
+// for a visit that is open. Such calls are carried until the end of a drain: if they were
+// refused, requests that were accepted before would fail.
+func (n *Node) madeForOpenVisit(r *http.Request) bool {
+	parent := n.settings.Dialect.ParentOf(n.requestIDOf(r))
+	if parent == "" {
+		return false
+	}
+	_, open := n.visits.find(parent)
+	return open
+}
+
 // refuseUnrouted refuses a request for which a configuration version has no route. If
 // a later version is known to exist, the refusal asks the caller to retry. That
 // includes a version that came into force after the route was looked up.
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -142,6 +142,7 @@
 			}
 			echo(w, r, call)
 		})
+		f.addRouted("b", "desk", 10, echo)
 		f.settle()
 		conn := f.dialFromOutside(n, OutboundListener)
 		defer conn.Close()
