--- a/node/drain.go
+++ b/node/drain.go
@@ -65,7 +65,7 @@
 	n.log.Emit(observe.ShutdownBegun, observe.Int64("open", n.inflight.Counts().Open),
 		observe.Dur("drain_timeout", n.adjusted.Load().DrainTimeout))
 	defer func() { n.logExit(n.now().Sub(began)) }()
-	n.done.Go(func() { n.logDrainProgress(ctx) })
+	defer n.startDrainProgress(ctx)()
 	n.ending.Store(true)
 	if n.usesDialect() {
 		return n.shutdownWithDialect(ctx)
--- a/node/tracked.go
+++ b/node/tracked.go
@@ -118,6 +118,20 @@
 // drainLogInterval is the interval between two lines about a drain that is under way.
 const drainLogInterval = time.Second
 
+// startDrainProgress starts logDrainProgress and returns a function that stops it.
+func (n *Node) startDrainProgress(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.logDrainProgress(ctx)
+	}()
+	return func() {
+		cancel()
+		<-stopped
+	}
+}
+
 // logDrainProgress logs the state of a drain until ctx ends. A process that is killed
 // can't log what it held, so the last such line has to show it.
 func (n *Node) logDrainProgress(ctx context.Context) {
--- a/node/tracked_test.go
+++ b/node/tracked_test.go
@@ -49,3 +49,14 @@
 		f.c.Check(has(lines[len(lines)-1:], "name=process-ends", "cut=0", "open=0"), qt.IsTrue, qt.Commentf("%q", lines))
 	})
 }
+
+// Guards against a drain that outlasts its work because of its own log lines.
+func TestDrainEndsWithItsWork(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, echo)
+		f.settle()
+		began := time.Now()
+		f.c.Assert(n.Drain(f.t.Context()), qt.IsNil)
+		f.c.Check(time.Since(began) < shutdownAcceptTime+time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	})
+}
