node, pipelining: a response closes its connection only if nothing was received behind it

What callers saw: in a drain, or while a listener was close to its connection limit, requests pipelined behind another one got no response.

Cause: the decision to close was taken when the handler of a request began. Whatever arrived while that request was being served, up to seconds, was read by the connection and dropped with it. What had arrived before was dropped too unless it had been started early, and in a drain nothing is.

The decision is now taken when the head of the response is written, and only if no byte behind the request has been received. Requests behind it are served, or refused after the accept time, and the last of them closes the connection. Repeatable ones are started early in a drain too, until the accept time is over.

--- a/node/edge.go
+++ b/node/edge.go
@@ -6,6 +6,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/node/inflight"
 	"pollengauge.dev/retry"
 )
 
@@ -38,7 +39,7 @@
 func (n *Node) serveRoot(w http.ResponseWriter, r *http.Request, req *request) call.Report {
 	a := n.answerRoot(r.Context(), req)
 	defer a.close()
-	return n.writeRoot(w, req, a)
+	return n.writeRoot(w, r, req, a)
 }
 
 // answerRoot runs a root request and returns its answer.
@@ -55,14 +56,15 @@
 }
 
 // writeRoot writes the answer to a root request and returns the answer's report.
-func (n *Node) writeRoot(w http.ResponseWriter, req *request, a *answer) call.Report {
+func (n *Node) writeRoot(w http.ResponseWriter, r *http.Request, req *request, a *answer) call.Report {
 	if !n.usesDialect() {
 		w.Header().Set(call.HeaderRequest, req.call.RequestID)
 	}
 	a.toCaller, a.withoutReport = true, n.usesDialect()
 	setWriteDeadline(w, req.deadline)
+	n.retireConn(w.Header(), r)
 	if err := writeAnswer(w, a); err != nil {
-		n.abort(req, err)
+		n.abort(trackedOf(r), req, err)
 	}
 	return a.report
 }
@@ -147,8 +149,8 @@
 }
 
 // abort breaks the caller's connection when the rest of an answer can't be delivered.
-func (n *Node) abort(req *request, err error) {
-	n.cutAnswer(req.tracked, req, err)
+func (n *Node) abort(q *inflight.Request, req *request, err error) {
+	n.cutAnswer(q, req, err)
 	if n.settings.Ablate.NoAbort {
 		return
 	}
--- a/node/ending.go
+++ b/node/ending.go
@@ -73,19 +73,22 @@
 // closes each connection with its next answer.
 const crowdedShare = 60
 
-// retireConn makes the answer close the caller's connection once the process is shutting
-// down. A caller that sends its next request on a connection that is just being closed
-// can't tell whether the request was read.
+// retireConn makes the response that is about to be written close the caller's connection
+// once the process is shutting down. A caller that sends its next request on a connection
+// that is just being closed can't tell whether the request was read.
 //
 // It does the same while the listener is close to its connection limit. This prevents the
 // following failure: idle connections of callers take all that the listener may hold, and
 // new connections wait to be accepted until their callers have given up; their requests
 // are forwarded only then.
 //
-// If the caller has pipelined further requests that have already been started, the
-// connection stays open until they are answered: closed earlier, it would make their
-// callers send them again.
+// If requests behind this one were received, the connection stays open until they are
+// answered: closed earlier, it would leave them without a response. This can be told only
+// when the response begins, since requests may arrive while this one is being served.
 func (n *Node) retireConn(h http.Header, r *http.Request) {
+	if !n.usesDialect() {
+		return
+	}
 	const percent = 100
 	crowded := n.conns[OutboundListener].Load() > int64(n.settings.EdgeConns)*crowdedShare/percent
 	if !n.ending.Load() && !crowded {
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -93,7 +93,7 @@
 	setWriteDeadline(w, req.deadline)
 	if err := writeAnswer(w, a); err != nil {
 		report.Outcome = call.Unknown
-		n.abort(req, err)
+		n.abort(trackedOf(r), req, err)
 	}
 }
 
--- a/node/peer.go
+++ b/node/peer.go
@@ -92,7 +92,7 @@
 		n.noteCallerDisconnected(req)
 	}
 	if err != nil {
-		n.abort(req, err)
+		n.abort(trackedOf(r), req, err)
 	}
 }
 
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -76,7 +76,7 @@
 // twice, one that the node would refuse, and a call of the upstream on this VM, which
 // its handler has to account to its visit.
 func (n *Node) startEarly(ctx context.Context, r *http.Request) pipelining.Answer {
-	if n.ending.Load() || n.earlyRuns.Add(1) > maxEarlyRuns {
+	if n.closed.Load() || n.earlyRuns.Add(1) > maxEarlyRuns {
 		n.earlyRuns.Add(-1)
 		return nil
 	}
@@ -169,10 +169,9 @@
 	defer stop()
 	<-run.done
 	defer run.end()
-	run.req.tracked = trackedOf(r)
-	run.req.tracked.SetID(run.req.call.RequestID)
+	trackedOf(r).SetID(run.req.call.RequestID)
 	n.logLateTurn(run, turn)
-	n.writeRoot(w, run.req, run.answer)
+	n.writeRoot(w, r, run.req, run.answer)
 }
 
 // lateTurnShare is the fraction of a target from which the wait for earlier answers is
--- a/node/pipelining/abandoned.go
+++ b/node/pipelining/abandoned.go
@@ -11,7 +11,7 @@
 // reportAbandoned reports the requests that were read and not served when the connection
 // closes. The caller holds c.mu.
 func (c *Conn) reportAbandoned() {
-	if c.closed || c.readErr != nil || c.handlers.Abandoned == nil {
+	if c.closed || c.closing || c.readErr != nil || c.handlers.Abandoned == nil {
 		return
 	}
 	for _, early := range c.queue {
--- a/node/pipelining/ahead.go
+++ b/node/pipelining/ahead.go
@@ -101,19 +101,26 @@
 	c.changed.Broadcast()
 }
 
-// MayClose reports whether the current response may close the connection, and if so stops
-// starting requests early. It may not while requests queued behind it have been
-// started: the caller would take them for unread, and their work would be lost.
+// MayClose reports whether the response that is about to be sent may close the connection,
+// and if so stops starting requests early. It may not if anything behind its request was
+// received: the caller would not get a response to that.
 func (c *Conn) MayClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) > 0 {
+	if len(c.queue) > 0 || c.receivedBehind() {
 		return false
 	}
+	c.closing = true
 	c.split.giveUp()
 	return true
 }
 
+// receivedBehind reports whether bytes behind the request being served were received, or
+// may have been. The caller holds c.mu.
+func (c *Conn) receivedBehind() bool {
+	return c.requestEnd < 0 || c.delivered+int64(len(c.unread)) > c.requestEnd
+}
+
 // lookAhead starts the queued requests that may start early, and starts the reading
 // goroutine once the caller pipelines requests. The caller holds c.mu.
 func (c *Conn) lookAhead() {
--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -44,9 +44,11 @@
 	readErr error
 	// waitingSince is when the oldest bytes behind the request being served arrived.
 	waitingSince time.Time
-	closed       bool
-	deadline     time.Time
-	timer        *time.Timer
+	// closing is set once a response has announced that it closes the connection.
+	closing  bool
+	closed   bool
+	deadline time.Time
+	timer    *time.Timer
 	// earlyCtx is the context of the requests that were started early. It is created
 	// with the first of them and cancelled when the connection ends or the read-ahead
 	// is given up.
@@ -60,8 +62,9 @@
 	// Begin starts a request before its turn.
 	Begin Begin
 	// Abandoned is called when the connection closes with a request that was read
-	// completely and not served, unless the caller closed the connection. received is the
-	// time since when the connection holds the request, or one before it.
+	// completely and not served, unless the caller closed the connection or a response
+	// announced the close. received is the time since when the connection holds the
+	// request, or one before it.
 	Abandoned func(r *http.Request, received time.Time)
 }
 
--- a/node/pipelining/conn_test.go
+++ b/node/pipelining/conn_test.go
@@ -115,6 +115,26 @@
 	})
 }
 
+// Guards against a response that closes the connection while a request that has to wait
+// for its turn, or the first part of one, was received behind it.
+func TestConnectionStaysOpenForReceivedRequests(t *testing.T) {
+	for _, behind := range []string{search, "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1", "G"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			caller, socket := net.Pipe()
+			conn := New(socket, Handlers{Begin: func(context.Context, *http.Request) Answer { return nil }})
+			defer conn.Close()
+			defer caller.Close()
+			go func() { _, _ = io.WriteString(caller, search+behind) }()
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			c.Assert(err, qt.IsNil)
+			conn.Serve(r)
+			synctest.Wait()
+			c.Check(conn.MayClose(), qt.IsFalse)
+		})
+	}
+}
+
 // A caller sends no request after its last one, and net/http waits for the next under
 // its idle timeout. While a goroutine reads the socket, the socket's own deadline is
 // not in force; if Read were not woken, the connection would stay open for ever.
--- a/node/routed.go
+++ b/node/routed.go
@@ -17,7 +17,6 @@
 func (n *Node) serveRouted(w http.ResponseWriter, r *http.Request) {
 	n.active.Add(1)
 	defer n.active.Add(-1)
-	n.retireConn(w.Header(), r)
 	if run := takeEarlyRun(r); run != nil {
 		n.serveEarlyRun(w, r, run)
 		return
@@ -87,6 +86,7 @@
 	}
 	req := &request{call: call.Context{RequestID: id}}
 	n.finishRefusal(a, req)
+	n.retireConn(w.Header(), r)
 	if err := writeAnswer(w, a); err != nil {
 		n.cutAnswer(trackedOf(r), req, err)
 	}
