--- a/cmd/pollengauge/soak/reload_test.go
+++ b/cmd/pollengauge/soak/reload_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -34,6 +35,27 @@
 	c.Check(logged(v.log, drained), qt.IsTrue)
 }
 
+// Guards against a SIGHUP that kills the process between the end of its drain and its
+// exit, with the last lines of its log.
+func TestReloadsUntilTheExitDoNotKillTheProcess(t *testing.T) {
+	c := qt.New(t)
+	f, err := newFleet(t.Context(), c.TempDir(), len(services), fleetTerms(false))
+	defer f.close()
+	c.Assert(err, qt.IsNil)
+	v := f.vms[0]
+	v.mu.Lock()
+	v.stopped = true // prevents a restart
+	process := v.process
+	v.mu.Unlock()
+	c.Assert(process.Signal(syscall.SIGTERM), qt.IsNil)
+	for process.Signal(syscall.SIGHUP) == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	v.done.Wait()
+	c.Check(f.record.exits, qt.HasLen, 0)
+	c.Check(logged(v.log, "event=1022"), qt.IsTrue)
+}
+
 // logged reports whether a log contains the text.
 func logged(path, text string) bool {
 	data, err := os.ReadFile(filepath.Clean(path))
