node: the exit waits until responses are written and connections are idle

What callers saw: possible, shown in virtual time: at the end of a drain a response that its handler had handed over was cut while it was being written, and requests that arrived in the last 200 ms met a closed connection.

Cause: the drain counted handlers. When none was left it gave the leave message and the shutdown of the servers 200 ms together, and then closed all connections. Writing the end of a response to a slow caller, or on a busy processor, is after its handler.

Evidence: TestResponsesAreWrittenBeforeTheExit failed with 'unexpected EOF' and passes.

--- a/node/drain.go
+++ b/node/drain.go
@@ -91,6 +91,7 @@
 	if !alone {
 		objects.Pause(ctx, leaveSpreadTime)
 	}
+	n.closeCallers(ctx)
 	if shutdown := n.shutdownServers(ctx); err == nil && shutdown != nil {
 		err = &DrainError{InFlight: int(n.active.Load())}
 	}
--- a/node/ending.go
+++ b/node/ending.go
@@ -43,6 +43,7 @@
 	objects.Pause(ctx, acceptTime-drainDelay)
 	n.closed.Store(true)
 	err := n.awaitNoActive(ctx)
+	n.closeCallers(ctx)
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
 	if leaveErr := n.gossip.Leave(leaving); leaveErr != nil {
@@ -69,6 +70,43 @@
 	return n.awaitNotBusy(ctx, active, func() bool { return active() > 0 })
 }
 
+// Timing of the close of callers' connections.
+const (
+	// minCloseTime is the least time in which callers' connections are closed, also if the
+	// time of the drain is over.
+	minCloseTime = 300 * time.Millisecond
+	closePoll    = 5 * time.Millisecond
+)
+
+// closeCallers closes the listeners for callers and then each connection of a caller, once
+// the response to its last request is written and nothing else has arrived on it. It
+// returns when all are closed, but at the latest when ctx ends or, if that is later,
+// after minCloseTime. In a drain of a few seconds or less, that time is shorter.
+func (n *Node) closeCallers(ctx context.Context) {
+	const part = 10
+	ctx, cancel := extend(ctx, min(minCloseTime, n.adjusted.Load().DrainTimeout/part))
+	defer cancel()
+	for name, listener := range n.listeners {
+		if n.forCallers(name) {
+			_ = listener.Close()
+		}
+	}
+	n.callerConns.closeIdle()
+	for n.callerConns.left() > 0 && ctx.Err() == nil {
+		objects.Pause(ctx, closePoll)
+	}
+}
+
+// extend returns a context with the deadline of ctx, or one after the least time, if that
+// is later.
+func extend(ctx context.Context, least time.Duration) (context.Context, context.CancelFunc) {
+	until := time.Now().Add(least)
+	if deadline, ok := ctx.Deadline(); ok && deadline.After(until) {
+		until = deadline
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), until)
+}
+
 // crowdedShare is the share of EdgeConns, in percent, above which the outbound listener
 // closes each connection with its next answer.
 const crowdedShare = 60
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -121,7 +122,8 @@
 	}
 	n.servers = append(n.servers, server)
 	n.done.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if closedByDrain := n.ending.Load() && errors.Is(err, net.ErrClosed); !closedByDrain && !errors.Is(err, http.ErrServerClosed) {
 			n.log.Emit(observe.NodeFailed, observe.Str("listener", string(name)), observe.Err(err))
 		}
 	})
