node, inflight: a drain answers what it can not complete

Cause: the drain timeout had one means, Close. The node now interrupts what each request waits for. A response that is being written is not interrupted.

--- a/node/edge.go
+++ b/node/edge.go
@@ -47,6 +47,7 @@
 	start := n.now()
 	n.noteCallerRetry(req)
 	a := n.runRoot(ctx, req)
+	n.nameInterruption(a)
 	n.finishRefusal(a, req)
 	n.recordRoot(req, a, start)
 	if req.parent != nil {
@@ -55,6 +56,16 @@
 	return a
 }
 
+// nameInterruption gives a request that was interrupted at the end of a drain that reason
+// in place of a cancellation by its caller.
+func (n *Node) nameInterruption(a *answer) {
+	if a.report.Reason != call.ReasonCancelled || !n.inflight.Interrupted() || a.refusal == nil {
+		return
+	}
+	a.report.Reason, a.refusal.reason = call.ReasonDraining, call.ReasonDraining
+	a.status = refusalStatus(a.report.Outcome, call.ReasonDraining)
+}
+
 // writeRoot writes the answer to a root request and returns the answer's report.
 func (n *Node) writeRoot(w http.ResponseWriter, r *http.Request, req *request, a *answer) call.Report {
 	if !n.usesDialect() {
@@ -105,7 +116,9 @@
 		return refused
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	req.tracked.OnInterrupt(cancel)
 	a := n.dispatchRoot(ctx, req)
+	req.tracked.OnInterrupt(nil)
 	if a.report.Outcome == call.NotRun {
 		if stale := n.brownout(req); stale != nil {
 			a.close()
--- a/node/ending.go
+++ b/node/ending.go
@@ -35,7 +35,8 @@
 // shutdownWithDialect shuts down a node that uses a dialect, while the upstream keeps
 // running beside it. The node still accepts calls of other nodes for shutdownDrainDelay,
 // then announces the drain, and refuses all new requests after shutdownAcceptTime.
-// Requests accepted before are completed if ctx allows it.
+// Requests accepted before are completed if ctx allows it. Those that are not complete
+// when ctx ends are answered by this node.
 func (n *Node) shutdownWithDialect(ctx context.Context) error {
 	drainDelay, acceptTime := shutdownTimes(n.adjusted.Load().DrainTimeout)
 	objects.Pause(ctx, drainDelay)
@@ -43,6 +44,9 @@
 	objects.Pause(ctx, acceptTime-drainDelay)
 	n.closed.Store(true)
 	err := n.awaitNoActive(ctx)
+	if err != nil {
+		n.inflight.Interrupt()
+	}
 	n.closeCallers(ctx)
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
--- a/node/inflight/inflight.go
+++ b/node/inflight/inflight.go
@@ -37,11 +37,13 @@
 
 // Registry holds the requests that are being served.
 type Registry struct {
-	next   atomic.Uint64
-	read   atomic.Int64
-	ended  atomic.Int64
-	cut    atomic.Int64
-	shards [shards]shard
+	next  atomic.Uint64
+	read  atomic.Int64
+	ended atomic.Int64
+	cut   atomic.Int64
+	// interrupted is set by Interrupt.
+	interrupted atomic.Bool
+	shards      [shards]shard
 }
 
 type shard struct {
@@ -71,6 +73,10 @@
 	listener string
 	id       atomic.Pointer[string]
 	ended    atomic.Bool
+
+	mu sync.Mutex
+	// interrupt ends the wait of the request, nil if it does not wait.
+	interrupt func()
 }
 
 // Begin adds a request that was read from a listener at a time.
@@ -137,6 +143,44 @@
 // Age returns the time since the request was read.
 func (q *Request) Age(now time.Time) time.Duration { return now.Sub(q.arrived) }
 
+// OnInterrupt sets the function that ends the present wait of the request, nil if it no
+// longer waits. The function is called at most once, by Interrupt of the registry or,
+// if that was called before, at once. It must not block or call the Request, and it is not
+// called after OnInterrupt has returned for the next one.
+func (q *Request) OnInterrupt(end func()) {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	q.interrupt = end
+	q.mu.Unlock()
+	if q.registry.interrupted.Load() {
+		q.endWait()
+	}
+}
+
+// endWait ends the present wait of the request.
+func (q *Request) endWait() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.interrupt != nil {
+		q.interrupt()
+		q.interrupt = nil
+	}
+}
+
+// Interrupt ends the waits of all requests, and from then on each wait that begins.
+// A request whose response is being written is not interrupted.
+func (r *Registry) Interrupt() {
+	r.interrupted.Store(true)
+	for _, q := range r.Open() {
+		q.endWait()
+	}
+}
+
+// Interrupted reports whether Interrupt was called.
+func (r *Registry) Interrupted() bool { return r.interrupted.Load() }
+
 // Answered records that the response was written. It has no effect on a request that
 // has ended.
 func (q *Request) Answered() {
--- a/node/inflight/inflight_test.go
+++ b/node/inflight/inflight_test.go
@@ -60,3 +60,22 @@
 	q.Answered()
 	c.Check(q.Cut(), qt.IsFalse)
 }
+
+// Guards against a request that begins to wait while the waits are being ended, and waits
+// on.
+func TestInterruptEndsEachWaitOnce(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	start := time.Unix(1000, 0)
+	waiting, answering, late := r.Begin("edge", start), r.Begin("edge", start), r.Begin("edge", start)
+	ended := 0
+	waiting.OnInterrupt(func() { ended++ })
+	answering.OnInterrupt(func() { ended++ })
+	answering.OnInterrupt(nil)
+	r.Interrupt()
+	c.Check(ended, qt.Equals, 1)
+	late.OnInterrupt(func() { ended++ })
+	c.Check(ended, qt.Equals, 2)
+	r.Interrupt()
+	c.Check(ended, qt.Equals, 2)
+}
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -167,7 +167,9 @@
 	turn := n.now()
 	stop := context.AfterFunc(r.Context(), run.cancel)
 	defer stop()
+	trackedOf(r).OnInterrupt(run.cancel)
 	<-run.done
+	trackedOf(r).OnInterrupt(nil)
 	defer run.end()
 	trackedOf(r).SetID(run.req.call.RequestID)
 	n.logLateTurn(run, turn)
--- a/node/request.go
+++ b/node/request.go
@@ -120,7 +120,10 @@
 func (n *Node) readRequestBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) (*replayBody, error) {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
+	tracked := trackedOf(r)
+	tracked.OnInterrupt(func() { _ = controller.SetReadDeadline(pastDeadline) })
 	body, err := readBody(r.Body, r.ContentLength, n.settings.MaxReplayBytes)
+	tracked.OnInterrupt(nil)
 	if err != nil {
 		return nil, &BodyError{Cause: err}
 	}
