node: a connection that closes lingers until its peer closes too

What callers saw: possible, shown on a socket: a response that closes its connection loses its end if anything arrives behind its request that is not read.

Cause: the kernel resets a connection that is closed with unread bytes, and the reset discards what the peer has not received. net/http avoids that for requests whose body it did not read, by closing the sending side first; the wrapped connections of this node offer no such method, and other cases it doesn't cover.

Close now ends the sending side, and discards for 500 ms at the longest what arrives until the peer closes. A connection whose peer has ended, or one that is reset on purpose, closes at once. The exit of the process waits for lingering connections.

--- a/node/ending.go
+++ b/node/ending.go
@@ -96,7 +96,7 @@
 		}
 	}
 	n.callerConns.closeIdle()
-	for n.callerConns.left() > 0 && ctx.Err() == nil {
+	for n.callerConns.left()+int(n.lingering.Load()) > 0 && ctx.Err() == nil {
 		objects.Pause(ctx, closePoll)
 	}
 }
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,7 +221,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer inner.Close()
-	listener := limitListener(inner, 1)
+	listener := limitListener(inner, 1, new(atomic.Int64))
 	for _, broken := range []bool{false, true} {
 		client, err := net.Dial("tcp", inner.Addr().String())
 		c.Assert(err, qt.IsNil)
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -116,7 +116,7 @@
 	if n.listeners[name] == nil {
 		return
 	}
-	listener := limitListener(n.listeners[name], conns)
+	listener := limitListener(n.listeners[name], conns, &n.lingering)
 	if n.forCallers(name) {
 		listener = n.pipelined(listener)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -122,10 +122,12 @@
 	conns map[Listener]*atomic.Int64
 	// callerConns are the connections of callers.
 	callerConns idleConns
-	started     time.Time
-	stop        context.CancelFunc
-	done        sync.WaitGroup
-	requestID   atomic.Uint64
+	// lingering counts the closed connections that wait for their peer's end.
+	lingering atomic.Int64
+	started   time.Time
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+	requestID atomic.Uint64
 	// storedVersion is the configuration version that the platform held when last read.
 	// storedUnreadable is set while the platform holds a configuration whose version
 	// can't be read.
--- a/node/reset.go
+++ b/node/reset.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,10 +15,10 @@
 )
 
 // limitListener returns a listener that accepts at most conns connections at a time,
-// each of which can be reset.
-func limitListener(l net.Listener, conns int) net.Listener {
+// each of which can be reset. It counts the connections that linger in lingering.
+func limitListener(l net.Listener, conns int, lingering *atomic.Int64) net.Listener {
 	raw := &rawListener{Listener: l}
-	return &resetListener{Listener: netutil.LimitListener(raw, conns), raw: raw}
+	return &resetListener{Listener: netutil.LimitListener(raw, conns), raw: raw, lingering: lingering}
 }
 
 // rawListener stores the connection that it accepted last, which a LimitListener
@@ -36,7 +37,8 @@
 
 type resetListener struct {
 	net.Listener
-	raw *rawListener
+	raw       *rawListener
+	lingering *atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -45,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &resetConn{Conn: conn, raw: l.raw.last}, nil
+	return &resetConn{Conn: conn, raw: l.raw.last, lingering: l.lingering}, nil
 }
 
 // resetConn is a connection that can be closed so that its peer sees an error.
@@ -55,6 +57,12 @@
 	idle idleTimer
 	// expiring is set from ExpireIdle to the Read that it ends.
 	expiring atomic.Bool
+	// peerEnded is set once a Read has failed for good.
+	peerEnded atomic.Bool
+	// closing is set by the first Close. lingering counts the connections of the listener
+	// that wait for their peer's end.
+	closing   atomic.Bool
+	lingering *atomic.Int64
 }
 
 // lastLook is how long a connection that closes as idle still waits for bytes.
@@ -75,6 +83,9 @@
 // Read implements net.Conn.
 func (c *resetConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.peerEnded.Store(true)
+	}
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.expiring.Swap(false) {
 		return n, err
 	}
@@ -84,12 +95,45 @@
 	return c.Conn.Read(p)
 }
 
+// Bounds on the time for which a closed connection lingers, and on the bytes that it
+// discards meanwhile.
+const (
+	lingerTime     = 500 * time.Millisecond
+	maxLingerBytes = 4 << 20
+)
+
+// Close implements net.Conn. It closes the sending side and discards what still arrives
+// until the peer closes too, at the longest for lingerTime.
+//
+// The kernel resets a connection that is closed with unread bytes. The reset discards what
+// the peer has not received yet, which can be the end of a response.
+func (c *resetConn) Close() error {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if again := c.closing.Swap(true); again || !ok || c.peerEnded.Load() {
+		return c.Conn.Close()
+	}
+	if err := half.CloseWrite(); err != nil {
+		return c.Conn.Close()
+	}
+	c.lingering.Add(1)
+	go c.linger()
+	return nil
+}
+
+func (c *resetConn) linger() {
+	defer c.lingering.Add(-1)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+	_ = c.Conn.Close()
+}
+
 // reset closes the connection without the normal end of stream; TCP sends a reset.
 func (c *resetConn) reset() {
 	if l, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
 		_ = l.SetLinger(0)
 	}
-	_ = c.Close()
+	c.closing.Store(true)
+	_ = c.Conn.Close()
 }
 
 // resetHTTP10Conn resets the connection of an HTTP/1.0 request.
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -215,7 +216,7 @@
 			return ctx
 		},
 	}
-	go func() { _ = server.Serve(limitListener(listener, 10)) }()
+	go func() { _ = server.Serve(limitListener(listener, 10, new(atomic.Int64))) }()
 	defer server.Close()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	c.Assert(err, qt.IsNil)
