node: the size of the fleet is stored within seconds

What customers saw: if all nodes restart within 10 to 20 s of the first start of a fleet, a customer gets up to 237 requests in 5 s where its limit and the tolerance allow 152.

Cause: a trace of every lease in a failing run shows three groups of nodes after the restart, of two, two and one, which don't know of each other for over a second. Each leased the complete limit (share=1.00): the size of the fleet, by which a group learns that it is not the whole, was compared with the stored one every 10 s and stored only at the second equal comparison, so a fleet that lived 7 s had stored none.

The comparison now comes every second. It is a comparison of two numbers at each node; only the first member calls the platform, and only when the size has changed.

--- a/node/fleetsize.go
+++ b/node/fleetsize.go
@@ -21,8 +21,10 @@
 
 const (
 	// fleetSizeInterval is the time between two comparisons of the size with the stored
-	// one. fleetSizeTimeout bounds the platform calls of one comparison.
-	fleetSizeInterval = 10 * time.Second
+	// one. It is short because nodes that all restart before the size was stored form
+	// groups that don't know of each other, and each leases the complete limits.
+	// fleetSizeTimeout bounds the platform calls of one comparison.
+	fleetSizeInterval = time.Second
 	fleetSizeTimeout  = time.Second
 	maxFleetSize      = 1 << 20
 )
