node: a listener accepts its queue before it closes

What callers saw: possible, shown on sockets: at the end of a drain, connections that wait to be accepted are reset, though their requests may have been sent long ago: the limit of connections was reached, or the process had no processor time.

Cause: the listeners were closed at once, and the kernel resets what is in their queue.

Evidence: TestListenerAcceptsItsQueueBeforeItCloses passes, and with a plain Close in its place the second caller's connection is reset.

--- a/node/ending.go
+++ b/node/ending.go
@@ -90,17 +90,25 @@
 	const part = 10
 	ctx, cancel := extend(ctx, min(minCloseTime, n.adjusted.Load().DrainTimeout/part))
 	defer cancel()
-	for name, listener := range n.listeners {
-		if n.forCallers(name) {
-			_ = listener.Close()
-		}
+	for _, listener := range n.callerListeners {
+		listener.CloseWhenEmpty()
 	}
 	n.callerConns.closeIdle()
-	for n.callerConns.left()+int(n.lingering.Load()) > 0 && ctx.Err() == nil {
+	for n.callersLeft() && ctx.Err() == nil {
 		objects.Pause(ctx, closePoll)
 	}
 }
 
+// callersLeft reports whether a listener for callers or a connection of a caller is open.
+func (n *Node) callersLeft() bool {
+	for _, listener := range n.callerListeners {
+		if !listener.ended.Load() {
+			return true
+		}
+	}
+	return n.callerConns.left()+int(n.lingering.Load()) > 0
+}
+
 // extend returns a context with the deadline of ctx, or one after the least time, if that
 // is later.
 func extend(ctx context.Context, least time.Duration) (context.Context, context.CancelFunc) {
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -116,9 +116,11 @@
 	if n.listeners[name] == nil {
 		return
 	}
-	listener := limitListener(n.listeners[name], conns, &n.lingering)
+	limited := limitListener(n.listeners[name], conns, &n.lingering)
+	listener := net.Listener(limited)
 	if n.forCallers(name) {
 		listener = n.pipelined(listener)
+		n.callerListeners = append(n.callerListeners, limited.raw)
 	}
 	n.servers = append(n.servers, server)
 	n.done.Go(func() {
--- a/node/node.go
+++ b/node/node.go
@@ -122,6 +122,8 @@
 	conns map[Listener]*atomic.Int64
 	// callerConns are the connections of callers.
 	callerConns idleConns
+	// callerListeners are the listeners for callers.
+	callerListeners []*rawListener
 	// lingering counts the closed connections that wait for their peer's end.
 	lingering atomic.Int64
 	started   time.Time
--- a/node/reset.go
+++ b/node/reset.go
@@ -9,47 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"pollengauge.dev/node/pipelining"
 )
 
-// limitListener returns a listener that accepts at most conns connections at a time,
-// each of which can be reset. It counts the connections that linger in lingering.
-func limitListener(l net.Listener, conns int, lingering *atomic.Int64) net.Listener {
-	raw := &rawListener{Listener: l}
-	return &resetListener{Listener: netutil.LimitListener(raw, conns), raw: raw, lingering: lingering}
-}
-
-// rawListener stores the connection that it accepted last, which a LimitListener
-// hides. Only the accept loop of one server uses it.
-type rawListener struct {
-	net.Listener
-	last net.Conn
-}
-
-// Accept implements net.Listener.
-func (l *rawListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	l.last = conn
-	return conn, err
-}
-
-type resetListener struct {
-	net.Listener
-	raw       *rawListener
-	lingering *atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *resetListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &resetConn{Conn: conn, raw: l.raw.last, lingering: l.lingering}, nil
-}
-
 // resetConn is a connection that can be closed so that its peer sees an error.
 type resetConn struct {
 	net.Conn
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -246,3 +246,38 @@
 	c.Check(drainDelay, qt.Equals, shutdownDrainDelay)
 	c.Check(acceptTime, qt.Equals, shutdownAcceptTime)
 }
+
+// Guards against a listener that closes and resets connections which wait to be accepted.
+func TestListenerAcceptsItsQueueBeforeItCloses(t *testing.T) {
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer inner.Close()
+	listener := limitListener(inner, 1, new(atomic.Int64))
+	var dialed, accepted []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		dialed = append(dialed, conn)
+	}
+	first, err := listener.Accept()
+	c.Assert(err, qt.IsNil)
+	listener.raw.CloseWhenEmpty()
+	// The limit is reached until the first connection closes.
+	c.Assert(dialed[0].Close(), qt.IsNil)
+	c.Assert(first.Close(), qt.IsNil)
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			c.Check(err, qt.ErrorIs, net.ErrClosed)
+			break
+		}
+		accepted = append(accepted, conn)
+		_, _ = io.WriteString(conn, "x")
+		_ = conn.Close()
+	}
+	c.Check(accepted, qt.HasLen, 1)
+	_, err = io.ReadFull(dialed[1], make([]byte, 1))
+	c.Check(err, qt.IsNil)
+}
