node: a drain without a dialect answers what it can not complete

The same cause as at the platform's drain, found by looking for it elsewhere: when the time of the drain was over, requests on the edge listener were cut. They are now interrupted and answered, before the connections of callers are closed.

Evidence: TestDrainAtTheEdgeAnswersWhatItCanNotComplete fails without the change ('EOF' at the caller) and passes with it.

--- a/node/drain.go
+++ b/node/drain.go
@@ -91,6 +91,9 @@
 	if !alone {
 		objects.Pause(ctx, leaveSpreadTime)
 	}
+	if ctx.Err() != nil {
+		n.inflight.Interrupt()
+	}
 	n.closeCallers(ctx)
 	if shutdown := n.shutdownServers(ctx); err == nil && shutdown != nil {
 		err = &DrainError{InFlight: int(n.active.Load())}
--- a/node/ending.go
+++ b/node/ending.go
@@ -76,19 +76,20 @@
 
 // Timing of the close of callers' connections.
 const (
-	// minCloseTime is the least time in which callers' connections are closed, also if the
-	// time of the drain is over.
-	minCloseTime = 300 * time.Millisecond
-	closePoll    = 5 * time.Millisecond
+	// minCloseTime is the least time for closing callers' connections, also if the time of
+	// the drain is over. In a short drain it is the drain's time by minCloseDivisor.
+	minCloseTime    = 300 * time.Millisecond
+	minCloseDivisor = 10
+	// closePoll is how often closeCallers checks whether all connections are closed.
+	closePoll = 5 * time.Millisecond
 )
 
 // closeCallers closes the listeners for callers and then each connection of a caller, once
 // the response to its last request is written and nothing else has arrived on it. It
 // returns when all are closed, but at the latest when ctx ends or, if that is later,
-// after minCloseTime. In a drain of a few seconds or less, that time is shorter.
+// after minCloseTime.
 func (n *Node) closeCallers(ctx context.Context) {
-	const part = 10
-	ctx, cancel := extend(ctx, min(minCloseTime, n.adjusted.Load().DrainTimeout/part))
+	ctx, cancel := extend(ctx, min(minCloseTime, n.adjusted.Load().DrainTimeout/minCloseDivisor))
 	defer cancel()
 	for _, listener := range n.callerListeners {
 		listener.CloseWhenEmpty()
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/node/pipelining"
 )
 
@@ -281,3 +282,23 @@
 	_, err = io.ReadFull(dialed[1], make([]byte, 1))
 	c.Check(err, qt.IsNil)
 }
+
+// Guards against a node without a dialect that closes the connections of requests which its
+// drain could not complete.
+func TestDrainAtTheEdgeAnswersWhatItCanNotComplete(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.add("a", "desk", 1, func(_ http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			<-r.Context().Done()
+		}, func(s *Settings) { s.DrainTimeout = time.Second })
+		f.settle()
+		answered := make(chan reply)
+		go func() { answered <- f.ask(n, http.MethodGet, "/x", "X-Operation", "one") }()
+		time.Sleep(100 * time.Millisecond)
+		drained := f.drainInBackground(n)
+		got := <-answered
+		f.c.Check(got.err, qt.IsNil)
+		f.c.Check(got.outcome, qt.Equals, "unknown")
+		f.c.Check(got.reason, qt.Equals, string(call.ReasonDraining))
+		<-drained
+	})
+}
