soak: planned work checks the nodes' own account of their requests

In a play of planned work alone no node may log a cut request (event 4030), and each exit must account for all requests that the process has read (event 1022, open=0).

--- a/cmd/pollengauge/soak/lost_test.go
+++ b/cmd/pollengauge/soak/lost_test.go
@@ -1,6 +1,10 @@
 package soak
 
-import "time"
+import (
+	"os"
+	"strings"
+	"time"
+)
 
 // lostAfter is how long after its last byte a request counts as read.
 const lostAfter = 200 * time.Millisecond
@@ -26,3 +30,22 @@
 		}
 	}
 }
+
+// cutRequests returns a violation for each request that a node logged as cut, and for each
+// exit of a process that does not account for all of its requests.
+func (f *fleet) cutRequests() []violation {
+	var found []violation
+	for _, v := range f.vms {
+		data, err := os.ReadFile(v.log)
+		if err != nil {
+			found = append(found, violation{"log", err.Error()})
+		}
+		for line := range strings.Lines(string(data)) {
+			unaccounted := strings.Contains(line, "event=1022 ") && !strings.Contains(line, " open=0 ")
+			if unaccounted || strings.Contains(line, "event=4030 ") {
+				found = append(found, violation{"lost", v.ip + ": " + line})
+			}
+		}
+	}
+	return found
+}
--- a/cmd/pollengauge/soak/planned_test.go
+++ b/cmd/pollengauge/soak/planned_test.go
@@ -96,6 +96,7 @@
 		pause(t.Context(), customerDeadline+time.Second)
 		c.Assert(f.failed, qt.IsNil)
 		found := append(judge(f.record, f.terms), f.logs()...)
+		found = append(found, f.cutRequests()...)
 		for _, v := range found {
 			c.Errorf("seed %d: %s", seed, v)
 		}
