node: a closing listener accepts for a tenth of a second at most

What callers saw: nothing; the process did.

Callers that open connections faster kept it open.

It now looks for 10 ms at a time, and accepts for 100 ms at most. TestListenerCloses- UnderNewConnections fails if the time is not bounded.

--- a/node/limitlistener.go
+++ b/node/limitlistener.go
@@ -22,12 +22,20 @@
 type rawListener struct {
 	net.Listener
 	last net.Conn
-	// closing is set by CloseWhenEmpty; ended is set once Accept has failed.
-	closing, ended atomic.Bool
+	// closeBy is the time by which a closing listener fails, nil before CloseWhenEmpty.
+	closeBy atomic.Pointer[time.Time]
+	// ended is set once Accept has failed.
+	ended atomic.Bool
 }
 
-// acceptLook is how long a listener that closes still waits for connections.
-const acceptLook = 50 * time.Millisecond
+// Times of a listener that closes. Callers may open connections faster than it looks for
+// more, so both are bounded.
+const (
+	// acceptLook is how long it waits for one more connection.
+	acceptLook = 10 * time.Millisecond
+	// maxAcceptTime is how long it accepts connections.
+	maxAcceptTime = 100 * time.Millisecond
+)
 
 // deadliner is a listener whose Accept can be given a deadline, as that of TCP.
 type deadliner interface{ SetDeadline(t time.Time) error }
@@ -35,15 +43,19 @@
 // Accept implements net.Listener.
 func (l *rawListener) Accept() (net.Conn, error) {
 	for {
-		closing := l.closing.Load()
-		if d, ok := l.Listener.(deadliner); ok && closing {
+		closeBy := l.closeBy.Load()
+		if closeBy != nil && !time.Now().Before(*closeBy) {
+			l.ended.Store(true)
+			return nil, net.ErrClosed
+		}
+		if d, ok := l.Listener.(deadliner); ok && closeBy != nil {
 			// A new deadline for each call, since an Accept past its deadline does not
 			// look into the queue.
 			_ = d.SetDeadline(time.Now().Add(acceptLook))
 		}
 		conn, err := l.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if !closing {
+			if closeBy == nil {
 				continue
 			}
 			err = net.ErrClosed
@@ -56,7 +68,8 @@
 	}
 }
 
-// CloseWhenEmpty makes Accept fail once no connection waits to be accepted.
+// CloseWhenEmpty makes Accept fail once no connection waits to be accepted, at the latest
+// after maxAcceptTime.
 //
 // A listener that is closed resets the connections in its queue, on which requests may
 // have been sent long ago: while the limit of connections is reached, or the process has
@@ -67,7 +80,8 @@
 		_ = l.Close()
 		return
 	}
-	l.closing.Store(true)
+	closeBy := time.Now().Add(maxAcceptTime)
+	l.closeBy.Store(&closeBy)
 	_ = d.SetDeadline(pastDeadline)
 }
 
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -144,14 +144,15 @@
 			}
 			echo(w, r, call)
 		})
-		f.addRouted("b", "desk", 10, echo)
 		f.settle()
 		conn := f.dialFromOutside(n, OutboundListener)
 		defer conn.Close()
 		drained := f.drainInBackground(n)
 		time.Sleep(900 * time.Millisecond) // the upstream accepts new runs until then
 		f.sendOn(conn, "/browse/a", "r0")
-		time.Sleep(1800 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
+		f.addRouted("b", "desk", 10, echo) // for the call; r0 is at its only upstream
+		time.Sleep(1750 * time.Millisecond)
 		close(release)
 		resp := f.expectComplete(bufio.NewReader(conn))
 		f.c.Check(resp.Header.Get("X-Called"), qt.Equals, "r0/1")
@@ -302,3 +303,29 @@
 		<-drained
 	})
 }
+
+// Guards against a listener that never closes because callers open connections without a
+// pause.
+func TestListenerClosesUnderNewConnections(t *testing.T) {
+	const enough = 1000
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer inner.Close()
+	listener := limitListener(inner, enough, new(atomic.Int64))
+	go func() {
+		for !listener.raw.ended.Load() {
+			if conn, err := listener.Accept(); err == nil {
+				_ = conn.Close()
+			}
+		}
+	}()
+	listener.raw.CloseWhenEmpty()
+	for i := 0; !listener.raw.ended.Load(); i++ {
+		c.Assert(i < enough, qt.IsTrue, qt.Commentf("still open after %d connections", i))
+		if conn, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+			_ = conn.Close()
+		}
+		time.Sleep(acceptLook / 2)
+	}
+}
