pipelining: an idle close spares a request that has begun to arrive

Cause: the idle timer could fire after net/http had read the first bytes of a request and before it reported the connection as active. The read deadline then ended the wait for the rest of the request, or reached its handler as the end of the connection. TestIdleCloseSparesARequestThatBegins fails without the check.

--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -112,6 +112,11 @@
 func (c *Conn) ExpireIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.serving || c.requestEnd >= 0 && c.delivered > c.requestEnd {
+		// net/http has read a part of the next request. A deadline would end the wait for
+		// the rest, or look like the end of the connection to its handler.
+		return
+	}
 	if !c.pumping {
 		if idle, ok := c.Conn.(IdleConn); ok {
 			idle.ExpireIdle()
--- a/node/pipelining/conn_test.go
+++ b/node/pipelining/conn_test.go
@@ -160,3 +160,26 @@
 		c.Check(turns.begun[0].dropped && turns.begun[1].dropped, qt.IsTrue)
 	})
 }
+
+// Guards against an idle close that cuts a request which net/http has begun to read.
+func TestIdleCloseSparesARequestThatBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		caller, socket := net.Pipe()
+		conn := New(socket, Handlers{})
+		defer conn.Close()
+		defer caller.Close()
+		go func() { _, _ = io.WriteString(caller, "G") }()
+		p := make([]byte, 1)
+		_, err := conn.Read(p)
+		c.Assert(err, qt.IsNil)
+		conn.ExpireIdle()
+		go func() {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(caller, "E")
+		}()
+		_, err = conn.Read(p)
+		c.Assert(err, qt.IsNil)
+		c.Check(string(p), qt.Equals, "E")
+	})
+}
--- a/node/pipelining/read.go
+++ b/node/pipelining/read.go
@@ -35,6 +35,7 @@
 	if !withheld {
 		c.delivered += int64(count)
 		c.lookAhead()
+		c.noteWaiting()
 		return count, err
 	}
 	c.withhold(p[:count], err)
--- a/node/reset.go
+++ b/node/reset.go
@@ -42,6 +42,12 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *resetConn) SetReadDeadline(t time.Time) error {
+	c.expiring.Store(false)
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Read implements net.Conn.
 func (c *resetConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
