node, pipelining: two tests that fail without their fix

One pause between connections was long enough for the listener to close, and the connection under test had no idle close.

--- a/node/pipelining/conn_test.go
+++ b/node/pipelining/conn_test.go
@@ -161,12 +161,18 @@
 	})
 }
 
+// expiringConn is a connection whose idle close ends its reads at once.
+type expiringConn struct{ net.Conn }
+
+// ExpireIdle implements IdleConn.
+func (c expiringConn) ExpireIdle() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
 // Guards against an idle close that cuts a request which net/http has begun to read.
 func TestIdleCloseSparesARequestThatBegins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		caller, socket := net.Pipe()
-		conn := New(socket, Handlers{})
+		conn := New(expiringConn{socket}, Handlers{})
 		defer conn.Close()
 		defer caller.Close()
 		go func() { _, _ = io.WriteString(caller, "G") }()
--- a/node/unanswered_test.go
+++ b/node/unanswered_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -307,25 +308,34 @@
 // Guards against a listener that never closes because callers open connections without a
 // pause.
 func TestListenerClosesUnderNewConnections(t *testing.T) {
-	const enough = 1000
+	const callers, enough = 4, 20000
 	c := qt.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer inner.Close()
 	listener := limitListener(inner, enough, new(atomic.Int64))
-	go func() {
+	var running sync.WaitGroup
+	running.Go(func() {
 		for !listener.raw.ended.Load() {
 			if conn, err := listener.Accept(); err == nil {
 				_ = conn.Close()
 			}
 		}
-	}()
-	listener.raw.CloseWhenEmpty()
-	for i := 0; !listener.raw.ended.Load(); i++ {
-		c.Assert(i < enough, qt.IsTrue, qt.Commentf("still open after %d connections", i))
-		if conn, err := net.Dial("tcp", inner.Addr().String()); err == nil {
-			_ = conn.Close()
-		}
-		time.Sleep(acceptLook / 2)
+	})
+	var dialed atomic.Int64
+	for range callers {
+		running.Go(func() {
+			for !listener.raw.ended.Load() && dialed.Add(1) < enough {
+				if conn, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+					_ = conn.Close()
+				}
+			}
+		})
 	}
+	for dialed.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	listener.raw.CloseWhenEmpty()
+	running.Wait()
+	c.Check(dialed.Load() < enough, qt.IsTrue, qt.Commentf("still open after %d connections", dialed.Load()))
 }
