platform, node: the load that upstreams report is read, typed and exported

Upstreams state in each answer how many requests they run, how many wait, their slots and how long work takes at this moment. The header was read nowhere, so operators could not see whether an upstream was slow by itself, and a malformed one went unnoticed.

It is parsed strictly in the adapter (three or four whole numbers), handed to the node as UpstreamLoad with its age, and exported as pollengauge_upstream_reported for ten seconds. A malformed one is counted (pollengauge_malformed_total, source upstream-load) and the answer is delivered.

--- a/node/dialect.go
+++ b/node/dialect.go
@@ -71,6 +71,10 @@
 	Reason call.Reason
 	// Instance is the incarnation that answered, "" if the answer doesn't state it.
 	Instance string
+	// Load is the load that the answer reports. MalformedLoad is set if the answer
+	// reports one that can't be read.
+	Load          UpstreamLoad
+	MalformedLoad bool
 }
 
 // NodeRefusal is an answer that a node gives itself, in place of the upstream.
--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -13,6 +13,7 @@
 // work.
 func (l *localCall) answeredInDialect(up *upstream, resp *http.Response) *answer {
 	reported := l.node.settings.Dialect.ReadUpstream(resp, l.node.upstreamDescription(up, l.request))
+	l.node.noteUpstreamLoad(reported)
 	stripHop(resp.Header)
 	l.node.stripReservedHeaders(resp.Header)
 	switch reported.Outcome {
--- a/node/node.go
+++ b/node/node.go
@@ -115,6 +115,10 @@
 	// joined the gossip and may announce them.
 	ownSlots atomic.Int64
 	joined   atomic.Bool
+	// seedsRead is set once this node has read the bootstrap objects.
+	seedsRead atomic.Bool
+	// reportedLoad is the load that the upstream on this VM reported last, nil if none.
+	reportedLoad atomic.Pointer[receivedLoad]
 	// work measures the work time of the upstream on this VM, which other members use to
 	// place their calls.
 	work routing.WorkMeter
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -95,6 +95,7 @@
 	leftOut, dropped := n.log.LinesLost()
 	setCounter(n.metrics.LogLinesLost.With("left-out"), uint64(leftOut))
 	setCounter(n.metrics.LogLinesLost.With("dropped"), uint64(dropped))
+	n.updateUpstreamLoad()
 	n.updateServiceGauges()
 	n.updateQuarantineGauges()
 	if n.gossip != nil {
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -65,6 +65,9 @@
 	Quotas Counters
 	Spans  Counters
 
+	// UpstreamReported holds what the upstream on this VM reported last, one series for
+	// each figure.
+	UpstreamReported FloatGauges
 	// RetryBudgetLeft, ServiceLevel and ServiceLoad have one series per service.
 	RetryBudgetLeft, ServiceLevel Gauges
 	ServiceLoad                   FloatGauges
@@ -132,6 +135,7 @@
 	m.RetryBudgetLeft = m.gauges(retryLeftMetric)
 	m.ServiceLevel = m.gauges(serviceLevelMetric)
 	m.ServiceLoad = m.floatGauges(serviceLoadMetric)
+	m.UpstreamReported = m.floatGauges(upstreamReportedMetric)
 	m.Connections = m.gauges(connectionsMetric)
 	m.LogLinesLost = m.counters(logLinesMetric)
 }
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -87,6 +87,7 @@
 	m.Connections.With("outbound").Update(1)
 	m.LogLinesLost.With("dropped").Inc(1)
 	m.Malformed.With("gossip").Inc(1)
+	m.UpstreamReported.With("waiting").Update(2)
 	m.Unrouted.With("no-route").Inc(1)
 	m.RequestsCut.With("shutdown").Inc(1)
 	m.Strangers.With("unauthorized").Inc(1)
