objects, standin, platform: relaxed reads, which may return data that is seconds old

The platform answers a read that allows old data for a tenth of the price of an exact one and outside its rates. The client could not ask for one. RelaxedReader is an optional interface of a store, so that stores without such reads work unchanged; a relaxed list returns no revision, since no watch may continue from it.

The stand-in answers them with the state of Faults.StaleMillis ago and counts them. TestOnlyRelaxedReadsMayBeOld failed before the client sent the parameter.

--- a/node/observedstore.go
+++ b/node/observedstore.go
@@ -99,6 +99,22 @@
 	return found, revision, err
 }
 
+// GetRelaxed implements objects.RelaxedReader.
+func (s *observedStore) GetRelaxed(ctx context.Context, kind, name string) (objects.Object, error) {
+	start := time.Now()
+	o, err := objects.GetRelaxed(ctx, s.Store, kind, name)
+	s.note(objects.OpGet, start, err)
+	return o, err
+}
+
+// ListRelaxed implements objects.RelaxedReader.
+func (s *observedStore) ListRelaxed(ctx context.Context, kind, prefix string) ([]objects.Object, error) {
+	start := time.Now()
+	found, err := objects.ListRelaxed(ctx, s.Store, kind, prefix)
+	s.note(objects.OpList, start, err)
+	return found, err
+}
+
 // Create implements objects.Store.
 func (s *observedStore) Create(ctx context.Context, kind, name string, value []byte) (objects.Object, error) {
 	start := time.Now()
--- a/objects/client.go
+++ b/objects/client.go
@@ -22,7 +22,10 @@
 	counters counters
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store         = (*Client)(nil)
+	_ RelaxedReader = (*Client)(nil)
+)
 
 // NewClient returns a client. It makes no call, so it also succeeds while the
 // platform is down. It returns an *InvalidError for a malformed option.
@@ -49,10 +52,18 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
-	if err := CheckAddress(kind, name); err != nil {
+	return c.get(ctx, Query{Op: OpGet, Kind: kind, Name: name})
+}
+
+// GetRelaxed implements RelaxedReader.
+func (c *Client) GetRelaxed(ctx context.Context, kind, name string) (Object, error) {
+	return c.get(ctx, Query{Op: OpGet, Kind: kind, Name: name, Relaxed: true})
+}
+
+func (c *Client) get(ctx context.Context, q Query) (Object, error) {
+	if err := CheckAddress(q.Kind, q.Name); err != nil {
 		return Object{}, err
 	}
-	q := Query{Op: OpGet, Kind: kind, Name: name}
 	return c.exchangeObject(ctx, q)
 }
 
@@ -70,13 +81,22 @@
 
 // List implements Store. Each page counts as one call against the read budget.
 func (c *Client) List(ctx context.Context, kind, prefix string) ([]Object, uint64, error) {
-	if err := CheckKind(kind); err != nil {
+	return c.list(ctx, Query{Op: OpList, Kind: kind, prefix: prefix})
+}
+
+// ListRelaxed implements RelaxedReader.
+func (c *Client) ListRelaxed(ctx context.Context, kind, prefix string) ([]Object, error) {
+	found, _, err := c.list(ctx, Query{Op: OpList, Kind: kind, prefix: prefix, Relaxed: true})
+	return found, err
+}
+
+func (c *Client) list(ctx context.Context, q Query) ([]Object, uint64, error) {
+	if err := CheckKind(q.Kind); err != nil {
 		return nil, 0, err
 	}
-	if err := CheckPrefix(prefix); err != nil {
+	if err := CheckPrefix(q.prefix); err != nil {
 		return nil, 0, err
 	}
-	q := Query{Op: OpList, Kind: kind, prefix: prefix}
 	var all []Object
 	var first uint64
 	for page := range maxPages {
--- a/objects/exchange.go
+++ b/objects/exchange.go
@@ -70,7 +70,7 @@
 	attempts := 0
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		attempts++
-		c.counters.sent(q.Op)
+		c.counters.sent(q)
 		// net/http repeats a GET when a reused connection breaks. The platform
 		// counts both requests, so both are charged to the budget.
 		if attempts > 1 {
--- a/objects/stats.go
+++ b/objects/stats.go
@@ -11,8 +11,10 @@
 	// way as the platform: each page of a list and each watch counts as one.
 	Reads  uint64
 	Writes uint64
-	// Watches is the number of Reads that were watches.
+	// Watches is the number of Reads that were watches, and Relaxed the number that
+	// were relaxed.
 	Watches uint64
+	Relaxed uint64
 	// Events counts the events that watches returned, including repeated ones.
 	Events uint64
 	// The remaining fields count failed calls by the type of error. A malformed
@@ -27,17 +29,20 @@
 }
 
 type counters struct {
-	reads, writes, watches, events                                                atomic.Uint64
+	reads, writes, watches, relaxed, events                                       atomic.Uint64
 	conflicts, notFound, unavailable, ambiguous, overBudget, compacted, malformed atomic.Uint64
 }
 
-func (c *counters) sent(op Op) {
+func (c *counters) sent(q Query) {
 	switch {
-	case op.Writes():
+	case q.Op.Writes():
 		c.writes.Add(1)
-	case op == OpWatch:
+	case q.Op == OpWatch:
 		c.watches.Add(1)
 		c.reads.Add(1)
+	case q.Relaxed:
+		c.relaxed.Add(1)
+		c.reads.Add(1)
 	default:
 		c.reads.Add(1)
 	}
@@ -68,6 +73,7 @@
 		Reads:       c.reads.Load(),
 		Writes:      c.writes.Load(),
 		Watches:     c.watches.Load(),
+		Relaxed:     c.relaxed.Load(),
 		Events:      c.events.Load(),
 		Conflicts:   c.conflicts.Load(),
 		NotFound:    c.notFound.Load(),
--- a/objects/wire.go
+++ b/objects/wire.go
@@ -28,6 +28,8 @@
 	// Expected is the version that the stored object must have for an update or
 	// a delete, 0 for a create.
 	Expected uint64
+	// Relaxed allows a get or a list to return data that is seconds old.
+	Relaxed bool
 	// Value is the value that a create or an update writes.
 	Value []byte
 	// From is the revision after which a watch returns events. Wait is how long
--- a/standin/admit.go
+++ b/standin/admit.go
@@ -12,6 +12,8 @@
 type Stats struct {
 	// Calls counts all calls that arrived, including rejected ones.
 	Calls map[objects.Op]uint64 `json:"calls"`
+	// Relaxed counts the calls that were relaxed reads and got a response.
+	Relaxed uint64 `json:"relaxed"`
 	// RefusedRate and RefusedDown count the calls that were rejected because
 	// the rate limit was exceeded, or because of Faults.Down.
 	RefusedRate uint64 `json:"refused_rate"`
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -29,6 +29,8 @@
 	// calls a second.
 	ReadRate  float64 `json:"read_rate,omitempty"`
 	WriteRate float64 `json:"write_rate,omitempty"`
+	// StaleMillis is how old the objects are that relaxed reads return.
+	StaleMillis int `json:"stale_ms,omitempty"`
 	// Compact deletes all retained events, once.
 	Compact bool `json:"compact,omitempty"`
 }
--- a/standin/memory.go
+++ b/standin/memory.go
@@ -11,7 +11,10 @@
 // memoryWait is how long Memory.Watch waits for events.
 const memoryWait = 30 * time.Second
 
-var _ objects.Store = (*Memory)(nil)
+var (
+	_ objects.Store         = (*Memory)(nil)
+	_ objects.RelaxedReader = (*Memory)(nil)
+)
 
 // LostError is the Cause of an *objects.AmbiguousError that Faults produced.
 type LostError struct{}
--- a/standin/server.go
+++ b/standin/server.go
@@ -80,7 +80,11 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
-	o, err := s.Get(r.Context(), r.PathValue("kind"), r.PathValue("name"))
+	read := s.Get
+	if relaxed(r) {
+		read = s.GetRelaxed
+	}
+	o, err := read(r.Context(), r.PathValue("kind"), r.PathValue("name"))
 	writeObject(w, o, err)
 }
 
@@ -90,8 +94,20 @@
 		s.serveWatch(w, r)
 		return
 	}
+	if relaxed(r) {
+		found, err := s.ListRelaxed(r.Context(), r.PathValue("kind"), "")
+		writeList(w, found, 0, false, err)
+		return
+	}
 	limit := pageLimit{objects: maxPage, bytes: maxPageBytes}
 	found, revision, more, err := s.listPage(r.Context(), r.PathValue("kind"), "", r.URL.Query().Get(store.QueryAfter), limit)
+	writeList(w, found, revision, more, err)
+}
+
+// relaxed reports whether a read allows a response that is seconds old.
+func relaxed(r *http.Request) bool { return r.URL.Query().Get(store.QueryStale) == "1" }
+
+func writeList(w http.ResponseWriter, found []objects.Object, revision uint64, more bool, err error) {
 	if err != nil {
 		writeError(w, err)
 		return
--- a/standin/store.go
+++ b/standin/store.go
@@ -26,6 +26,8 @@
 	objects  map[string]map[string]objects.Object
 	revision uint64
 	log      []delivery
+	// replaced lists the states that changes replaced, in order of time.
+	replaced []replaced
 	// compactedTo is the highest position of the deliveries removed from log.
 	compactedTo uint64
 	changed     map[string]chan struct{} // closed at the kind's next event
@@ -117,6 +119,7 @@
 	if stored.Version != o.Version {
 		return objects.Object{}, &objects.ConflictError{Op: op, Kind: o.Kind, Name: o.Name, Expected: o.Version, Current: clone(stored)}
 	}
+	m.rememberReplaced(objects.Object{Kind: o.Kind, Name: o.Name, Version: stored.Version, Revision: stored.Revision, Value: stored.Value}, ok)
 	m.revision++
 	o = clone(o)
 	// Version and revision are the same number, as on the platform. Versions
