node, platform: exact calls to the store no longer grow with the number of starts

Cause: each start made an exact list of addresses, a create of its own address that lost the race (and a read to find out), an exact read of the configuration and an exact list of the quarantine records: 5 to 6 calls a start, times n. After a second each node that had not heard of its zone yet elected itself a watcher. Twenty watchers (4 a zone) made another 15 calls a second, half of them watches of 0.8 s.

Change: a node that starts makes relaxed reads. While no address is stored it nominates itself with a probability that starts at 1/128 and doubles each 60 ms, so that about eight of a thousand nodes make an exact read and a write before they see each other. After that only the first eight members by rank keep the addresses up to date. The first election waits until the membership has settled (1 to 4 s). Nodes that watch read the records exactly.

Why it holds: a stale list can only delay a nomination or cause one, and every nominee reads exactly before it writes; an old configuration is replaced by the members' newer one or by the watchers' exact list.

--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -17,6 +19,12 @@
 // bootstrapKind is the kind of the platform objects that name nodes to join. There are
 // at most maxBootstraps of them. bootstrapTimeout bounds the platform calls that read
 // them, or the configuration, at the start of a node.
+//
+// A node that starts reads these objects with relaxed reads, whose cost is a tenth of an
+// exact one. Exact calls are made by the few nodes that nominate themselves while no
+// address is stored, by nodes that could not join, and by the first members in the order
+// of watchRank, which keep the objects up to date. Their number does not grow with the
+// fleet.
 const (
 	bootstrapKind    = "pollengauge-bootstrap"
 	maxBootstraps    = 8
@@ -33,7 +41,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
-	found, _, err := n.store.List(ctx, bootstrapKind, "")
+	found, err := n.findBootstraps(ctx, len(addrs) == 0)
 	if err != nil {
 		if len(addrs) > 0 {
 			return addrs, nil
@@ -41,6 +49,70 @@
 		n.log.Emit(observe.BootstrapFailed, observe.Err(err))
 		return nil, err
 	}
+	return append(addrs, n.bootstrapAddrs(found)...), nil
+}
+
+// findBootstraps reads the bootstrap objects. While a node that starts finds no address of
+// another node, it repeats the relaxed read and nominates itself with increasing
+// probability. A node that could not join through the stored addresses makes an exact
+// read and offers its own address in any case.
+func (n *Node) findBootstraps(ctx context.Context, nominate bool) ([]objects.Object, error) {
+	if n.gossip.Stats().Alive > 1 {
+		return n.keepBootstraps(ctx)
+	}
+	if n.seedsRead.Swap(true) {
+		return n.offerExactly(ctx)
+	}
+	for round := 0; ; round++ {
+		found, err := objects.ListRelaxed(ctx, n.store, bootstrapKind, "")
+		if err != nil || !nominate || n.namesOthers(found) {
+			return found, err
+		}
+		if rand.Float64() < nominationProbability(round) {
+			return n.offerExactly(ctx)
+		}
+		if !objects.Pause(ctx, nominationPause) {
+			return found, nil
+		}
+	}
+}
+
+// nominationPause is the time between two reads of a node that finds no address.
+const nominationPause = 60 * time.Millisecond
+
+// firstNomination is the probability with which a node nominates itself in its first
+// round. It doubles with each round, so that a node that is alone waits for at most seven
+// pauses, and of a thousand nodes that start together about eight nominate themselves
+// before they see each other's addresses.
+const firstNomination = 1.0 / 128
+
+// nominationProbability returns the probability with which a node that has found no
+// address for a number of rounds stores its own.
+func nominationProbability(round int) float64 {
+	return min(math.Ldexp(firstNomination, round), 1)
+}
+
+// offerExactly makes an exact read of the bootstrap objects, offers this node's address
+// and returns the objects as read.
+func (n *Node) offerExactly(ctx context.Context) ([]objects.Object, error) {
+	found, _, err := n.store.List(ctx, bootstrapKind, "")
+	if err == nil {
+		n.offerBootstrap(ctx, found)
+	}
+	return found, err
+}
+
+// namesOthers reports whether an object names another node.
+func (n *Node) namesOthers(found []objects.Object) bool {
+	own := n.gossipAddr()
+	return slices.ContainsFunc(found, func(o objects.Object) bool {
+		return o.Name != fleetSizeName && string(o.Value) != own && isAddress(string(o.Value))
+	})
+}
+
+// bootstrapAddrs returns the addresses that the objects name, and reads the stored size
+// of the fleet.
+func (n *Node) bootstrapAddrs(found []objects.Object) (addrs []string) {
 	var unreadable int
 	for _, o := range found {
 		if o.Name == fleetSizeName {
@@ -56,8 +128,37 @@
 	if unreadable > 0 {
 		n.log.Emit(observe.BootstrapForeign, observe.Int("objects", unreadable))
 	}
-	n.offerBootstrap(ctx, slices.DeleteFunc(found, func(o objects.Object) bool { return o.Name == fleetSizeName }))
-	return addrs, nil
+	return addrs
+}
+
+// keepBootstraps reads the bootstrap objects and offers this node's address if it is one
+// of the first members in the order of watchRank. These members replace the addresses of
+// nodes that are gone.
+func (n *Node) keepBootstraps(ctx context.Context) ([]objects.Object, error) {
+	found, err := objects.ListRelaxed(ctx, n.store, bootstrapKind, "")
+	if err == nil && n.keepsBootstraps() {
+		n.offerBootstrap(ctx, found)
+	}
+	return found, err
+}
+
+// keepsBootstraps reports whether this node is one of the members that keep the bootstrap
+// objects up to date.
+func (n *Node) keepsBootstraps() bool {
+	return n.earlierMembers(func(membership.Member) bool { return true }) < maxBootstraps
+}
+
+// offerOnceSettled offers this node's address, if it is to be stored, as soon as this node
+// knows the members.
+func (n *Node) offerOnceSettled(ctx context.Context) {
+	if !n.keepsBootstraps() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	if _, err := n.keepBootstraps(ctx); err != nil {
+		n.log.Emit(observe.BootstrapFailed, observe.Err(err))
+	}
 }
 
 // isAddress reports whether the value of a bootstrap object is an address to join.
@@ -81,6 +182,9 @@
 	own := n.gossipAddr()
 	taken := make(map[string]objects.Object, len(found))
 	for _, o := range found {
+		if o.Name == fleetSizeName {
+			continue
+		}
 		if string(o.Value) == own {
 			return
 		}
--- a/node/configsync.go
+++ b/node/configsync.go
@@ -1,13 +1,13 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
 	"time"
 
 	"pollengauge.dev/config"
+	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
@@ -101,19 +101,24 @@
 	// others learn of changes through gossip. The platform counts a waiting watch as a
 	// call, and its rate limits grow more slowly than the fleet.
 	watchersPerZone = 2
-	// dialectWatchersPerZone is higher: with a dialect the platform may reject single
-	// VMs, delay its responses or interrupt watches, so that half of a zone may get no
-	// updates.
-	dialectWatchersPerZone = 4
-	electInterval          = 5 * time.Second
-	// firstElectionDelay is the time of the first election, after the node has joined.
-	// A node that has just started knows no other members and would elect itself. When
-	// all nodes of a fleet start, each would list and watch for a moment, which is more
-	// reads than the platform allows. The configuration is read at the start in any
-	// case.
-	firstElectionDelay = time.Second
+	// dialectWatchers is how many nodes of all zones together watch the platform if a
+	// dialect is used: more, because the platform may then reject single VMs, delay its
+	// responses or interrupt watches, so that half of a zone may get no updates.
+	dialectWatchers = 12
+	// minDialectWatchers and maxDialectWatchers bound how many of them are in one zone.
+	minDialectWatchers = 2
+	maxDialectWatchers = 4
+	electInterval      = 5 * time.Second
 )
 
+// dialectWatchersPerZone returns how many nodes of each zone watch the platform if a
+// dialect is used. A waiting watch costs a call every few seconds, so more zones need
+// fewer watchers each.
+func dialectWatchersPerZone(zones int) int {
+	perZone := (dialectWatchers + zones - 1) / max(zones, 1)
+	return min(max(perZone, minDialectWatchers), maxDialectWatchers)
+}
+
 // startConfig keeps the configuration up to date: this node watches the platform while
 // it is among the first nodes of its zone, and always receives updates from peers.
 func (n *Node) startConfig(ctx context.Context) {
@@ -133,15 +138,12 @@
 			stopWatch()
 		}
 	}()
-	wait := firstElectionDelay
 	n.fetchConfig(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		wait = electInterval
+	if !n.awaitSettled(ctx) {
+		return
+	}
+	n.offerOnceSettled(ctx)
+	for ; ctx.Err() == nil; objects.Pause(ctx, electInterval) {
 		watch := n.watchesPlatform()
 		switch {
 		case watch && stopWatch == nil:
@@ -153,12 +155,49 @@
 	}
 }
 
-// fetchConfig reads the configuration once, at the start.
+const (
+	// settlePause is the time between two checks whether the membership has settled.
+	settlePause = 250 * time.Millisecond
+	// minSettleChecks is the number of checks before the first election, and
+	// maxSettleChecks the number after which it takes place in any case.
+	minSettleChecks = 4
+	maxSettleChecks = 16
+	// quietChecks is the number of consecutive checks without a new member after which
+	// the membership counts as settled.
+	quietChecks = 2
+)
+
+// awaitSettled waits until this node has learned of the members, and returns false if ctx
+// ends first.
+//
+// A node that has just started knows few members and would elect itself as a watcher.
+// When all nodes of a fleet start, each would list and watch for a moment, which is more
+// reads than the platform allows, and the time until a node knows the others grows with
+// the fleet.
+func (n *Node) awaitSettled(ctx context.Context) bool {
+	known, quiet := 0, 0
+	for check := range maxSettleChecks {
+		if check >= minSettleChecks && quiet >= quietChecks {
+			break
+		}
+		if !objects.Pause(ctx, settlePause) {
+			return false
+		}
+		quiet++
+		if alive := n.gossip.Stats().Alive; alive != known {
+			known, quiet = alive, 0
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// fetchConfig reads the configuration once, at the start. The read is relaxed: the
+// members pass on what is newer, and a node without members soon watches the platform.
 func (n *Node) fetchConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
 	kind, name := n.configObject()
-	o, err := n.store.Get(ctx, kind, name)
+	o, err := objects.GetRelaxed(ctx, n.store, kind, name)
 	var empty *objects.NotFoundError
 	if errors.As(err, &empty) {
 		return // No configuration is stored, so operators have chosen the default.
@@ -180,6 +219,7 @@
 		Backoff: objects.Backoff{Max: config.DefaultFollowBackoff},
 	}
 	n.done.Go(func() { watcher.Run(ctx) })
+	n.done.Go(func() { n.readRecordsExactly(ctx) })
 	return cancel
 }
 
@@ -219,25 +259,32 @@
 // watchesPlatform reports whether this node is among the first nodes of its zone. The
 // order of two nodes does not change as members come and go.
 func (n *Node) watchesPlatform() bool {
-	earlier := 0
+	sameZone := func(m membership.Member) bool { return m.Zone == n.settings.Zone }
+	return n.earlierMembers(sameZone) < n.watchers()
+}
+
+// earlierMembers counts the members of a group that come before this node in the order of
+// watchRank.
+func (n *Node) earlierMembers(inGroup func(membership.Member) bool) (earlier int) {
 	own := watchRank(n.id)
 	for _, m := range n.gossip.Members() {
-		if m.Zone != n.settings.Zone || m.ID == n.id {
-			continue
-		}
-		if cmp.Compare(watchRank(m.ID), own) < 0 {
+		if inGroup(m) && watchRank(m.ID) < own {
 			earlier++
 		}
 	}
-	return earlier < n.watchers()
+	return earlier
 }
 
 // watchers returns how many nodes of a zone watch the platform.
 func (n *Node) watchers() int {
-	if n.usesDialect() {
-		return dialectWatchersPerZone
+	if !n.usesDialect() {
+		return watchersPerZone
+	}
+	zones := map[string]bool{n.settings.Zone: true}
+	for _, m := range n.gossip.Members() {
+		zones[m.Zone] = true
 	}
-	return watchersPerZone
+	return dialectWatchersPerZone(len(zones))
 }
 
 func watchRank(id string) uint64 {
--- a/node/fleetsize.go
+++ b/node/fleetsize.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 )
@@ -83,11 +84,5 @@
 // isFirstMember reports whether this node is the first member in the order of
 // watchRank.
 func (n *Node) isFirstMember() bool {
-	own := watchRank(n.id)
-	for _, m := range n.gossip.Members() {
-		if watchRank(m.ID) < own {
-			return false
-		}
-	}
-	return true
+	return n.earlierMembers(func(membership.Member) bool { return true }) == 0
 }
--- a/node/maintain.go
+++ b/node/maintain.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pollengauge.dev/atmostonce"
+	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
 )
 
@@ -103,11 +104,6 @@
 }
 
 func (n *Node) firstOfService() bool {
-	own := watchRank(n.id)
-	for _, m := range n.gossip.Members() {
-		if m.Service == n.settings.Service && watchRank(m.ID) < own {
-			return false
-		}
-	}
-	return true
+	sameService := func(m membership.Member) bool { return m.Service == n.settings.Service }
+	return n.earlierMembers(sameService) == 0
 }
--- a/node/quarantinestore.go
+++ b/node/quarantinestore.go
@@ -63,16 +63,16 @@
 	}
 }
 
-// runRecordStore reads the stored records and then stores queued ones until ctx ends.
+// runRecordStore reads the stored records and then stores queued ones until ctx ends. The
+// read is relaxed: the members announce recent records, and the nodes that watch the
+// platform make an exact read (see startWatch).
 func (n *Node) runRecordStore(ctx context.Context) {
 	if n.store == nil {
 		return
 	}
-	for n.mergeStoredRecords(ctx) != nil {
-		if !objects.Pause(ctx, storeRetryPause) {
-			return
-		}
-	}
+	n.readRecords(ctx, func(ctx context.Context) ([]objects.Object, error) {
+		return objects.ListRelaxed(ctx, n.store, quarantineKind, "")
+	})
 	for {
 		select {
 		case <-ctx.Done():
@@ -83,9 +83,27 @@
 	}
 }
 
-// mergeStoredRecords merges the records that the platform holds.
-func (n *Node) mergeStoredRecords(ctx context.Context) error {
-	stored, _, err := n.store.List(ctx, quarantineKind, "")
+// readRecordsExactly makes an exact read of the stored records.
+func (n *Node) readRecordsExactly(ctx context.Context) {
+	n.readRecords(ctx, func(ctx context.Context) ([]objects.Object, error) {
+		stored, _, err := n.store.List(ctx, quarantineKind, "")
+		return stored, err
+	})
+}
+
+// readRecords merges the records that list reads from the platform, and retries until the
+// read succeeds or ctx ends.
+func (n *Node) readRecords(ctx context.Context, list func(context.Context) ([]objects.Object, error)) {
+	for n.mergeStoredRecords(ctx, list) != nil {
+		if !objects.Pause(ctx, storeRetryPause) {
+			return
+		}
+	}
+}
+
+// mergeStoredRecords merges the records that list reads from the platform.
+func (n *Node) mergeStoredRecords(ctx context.Context, list func(context.Context) ([]objects.Object, error)) error {
+	stored, err := list(ctx)
 	var absent *objects.NotFoundError
 	if errors.As(err, &absent) {
 		return nil
