membership: bytes between zones grow linearly with the fleet, no longer with its square

Cause: every member passed every change on to its two neighbours outside the zone, and a joining process fetched the table from members of any zone. A start of all members cost 62, 98 and 186 kB a member between zones at 120, 240 and 480 members in five zones (387 B for each pair of members at 480).

Change, in zones of more than 32 members: ten members of a zone, drawn for each change by a hash, pass it on to other zones, once and at once; syncs that leave the zone become rarer as it grows; a joining process asks its own zone as soon as it knows 32 members there. Smaller zones behave as before.

Why it holds: each zone sends twenty copies of a change and every zone that hears of it sends as many; syncs make up for the rest, as before.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -315,7 +315,7 @@
 		received[request.Entries[i].ID] = true
 	}
 	var delivered []Entry
-	for _, e := range g.rumors.pick(g.table, g.cfg.RumorBytes/replyRumorsDivisor) {
+	for _, e := range g.rumorsFor(rawID(request.From), g.cfg.RumorBytes/replyRumorsDivisor) {
 		if brief && e.State == Alive {
 			continue
 		}
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -28,6 +28,9 @@
 	// peers are the neighbours; probeTurn counts the probes sent to them.
 	peers     []memberID
 	probeTurn int
+	// zoneSize is the number of members in this process's availability zone, itself
+	// included.
+	zoneSize int
 	// rumorTurn selects the next neighbour to send rumors to.
 	rumorTurn int
 	// sending counts, by peer, the running exchanges that send it rumors.
--- a/membership/join.go
+++ b/membership/join.go
@@ -44,10 +44,15 @@
 }
 
 // anyMember returns a random member that is not gone, or the given one if there is none.
+// In a large zone it is a member of this process's own zone.
 func (g *Gossip) anyMember(fallback target) target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, picked := range g.addrs(sample(g.cfg.Rand, g.table.living(), 1)) {
+	candidates := g.table.living()
+	if near := g.table.livingInZone(); len(near) >= smallZone {
+		candidates = near
+	}
+	for _, picked := range g.addrs(sample(g.cfg.Rand, candidates, 1)) {
 		return picked
 	}
 	return fallback
--- a/membership/loop.go
+++ b/membership/loop.go
@@ -227,19 +227,28 @@
 }
 
 // rumorRound prepares one round of rumors: the same entries for the next Fanout
-// neighbours. Going through the neighbours in turn makes a rumor that is sent often
-// enough reach each of them, whereas a random choice would select some twice. A neighbour
-// that has not answered the last round is skipped: sending at a fixed rate to members
-// that answer late prolongs an overload.
+// neighbours in the zone, and those that are due for the neighbours outside. Going
+// through the neighbours in turn makes a rumor that is sent often enough reach each of
+// them, whereas a random choice would select some twice. A neighbour that has not
+// answered the last round is skipped: sending at a fixed rate to members that answer late
+// prolongs an overload.
 func (g *Gossip) rumorRound() []func() {
 	g.refreshPeers()
-	alive := g.rumorPeers()
-	if len(alive) == 0 {
-		return nil
+	var near, outside []memberID
+	for _, id := range g.rumorPeers() {
+		if g.outside(id) {
+			outside = append(outside, id)
+		} else {
+			near = append(near, id)
+		}
+	}
+	work := g.crossZoneRound(outside)
+	if len(near) == 0 {
+		return work
 	}
 	var next []memberID
-	for range alive {
-		id := alive[g.rumorTurn%len(alive)]
+	for range near {
+		id := near[g.rumorTurn%len(near)]
 		g.rumorTurn++
 		if g.sending[id] == 0 {
 			next = append(next, id)
@@ -248,10 +257,8 @@
 			break
 		}
 	}
-	peers := g.addrs(next)
-	entries := g.rumors.pick(g.table, g.cfg.RumorBytes)
-	work := make([]func(), 0, len(peers))
-	for _, peer := range peers {
+	entries := g.rumors.pick(g.table, g.cfg.RumorBytes, func(*rumor, uint64) bool { return true })
+	for _, peer := range g.addrs(next) {
 		work = append(work, func() { g.sendClaims(peer, KindPing, entries) })
 	}
 	return work
@@ -295,7 +302,9 @@
 		return
 	}
 	g.table.membersChanged = false
-	g.peers = nearNeighbors(g.table.self.id, g.table.livingInZone(), g.table.living(), g.cfg.Neighbors)
+	zone := g.table.livingInZone()
+	g.zoneSize = len(zone) + 1
+	g.peers = nearNeighbors(g.table.self.id, zone, g.table.living(), g.cfg.Neighbors)
 }
 
 // sendLimit returns the maximum number of times that this process sends one rumor.
--- a/membership/meter_test.go
+++ b/membership/meter_test.go
@@ -29,7 +29,9 @@
 	// kind, followed by the replies of each kind.
 	byNode map[string]int
 	byKind [2 * kindCount]int
-	conns  map[*testNode]*lru.Cache[*testNode, *meteredConn]
+	// crossZone counts the bytes between availability zones.
+	crossZone int
+	conns     map[*testNode]*lru.Cache[*testNode, *meteredConn]
 }
 
 type meteredConn struct {
@@ -50,7 +52,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.bytes, m.dials, m.calls = 0, 0, 0
-	m.byNode, m.byKind = nil, [2 * kindCount]int{}
+	m.byNode, m.byKind, m.crossZone = nil, [2 * kindCount]int{}, 0
 }
 
 func (m *meter) count(from, to *testNode, message *Message, isReply bool) {
@@ -94,6 +96,9 @@
 	}
 	m.byNode[from.addr] += bytes
 	m.byNode[to.addr] += bytes
+	if from.cfg.Self.Zone != to.cfg.Self.Zone {
+		m.crossZone += bytes
+	}
 	if isReply {
 		kind += kindCount
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -96,7 +96,7 @@
 func (g *Gossip) ping(ctx context.Context, wait time.Duration, peer target, claims []Entry) (*Message, error) {
 	m := &Message{Target: string(peer.id[:]), Entries: claims}
 	g.mu.Lock()
-	m.Entries = append(m.Entries, g.rumors.pick(g.table, g.cfg.RumorBytes/4)...)
+	m.Entries = append(m.Entries, g.rumorsFor(peer.id, g.cfg.RumorBytes/4)...)
 	g.mu.Unlock()
 	return g.exchangeWithin(ctx, wait, peer, m)
 }
--- a/membership/rumors.go
+++ b/membership/rumors.go
@@ -28,6 +28,8 @@
 	short bool
 	sends int
 	known int
+	// crossed is set once the rumor was sent to the neighbours outside the zone.
+	crossed bool
 }
 
 // rumors is the queue of changes to disseminate. A send always contains the latest state
@@ -54,8 +56,9 @@
 
 func (r *rumors) pending() bool { return len(r.byID) > 0 || r.version != nil }
 
-// pick returns the entries of the least sent rumors that fit into limit bytes.
-func (r *rumors) pick(t *table, limit int) []Entry {
+// pick returns the entries of the least sent rumors that fit into limit bytes, of those
+// that accept returns true for, given the rumor and the member's Seq.
+func (r *rumors) pick(t *table, limit int, accept func(item *rumor, seq uint64) bool) []Entry {
 	if len(r.byID) == 0 {
 		return nil
 	}
@@ -77,6 +80,9 @@
 			delete(r.byID, item.id)
 			continue
 		}
+		if !accept(item, e.Seq) {
+			continue
+		}
 		if limit -= e.size(); limit < 0 || len(entries) == maxEntries {
 			break
 		}
@@ -113,6 +119,19 @@
 	}
 }
 
+// markCrossed records that entries, and a new configuration version, were sent to the
+// neighbours outside the zone.
+func (r *rumors) markCrossed(entries []Entry) {
+	for i := range entries {
+		if item := r.byID[rawID(entries[i].ID)]; item != nil {
+			item.crossed = true
+		}
+	}
+	if r.version != nil {
+		r.version.crossed = true
+	}
+}
+
 // countVersionDelivered is the counterpart of countDelivered for the configuration
 // version.
 func (r *rumors) countVersionDelivered(known bool, sendLimit int) {
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -22,14 +22,10 @@
 	}
 }
 
-// crossZoneSyncDivisor is the number of syncs for each one that may leave the
-// availability zone. The other members of the zone learn from each other what one of them
-// learns from outside.
-const crossZoneSyncDivisor = 4
-
 // syncPeers returns the candidates for a sync. The lock is held.
 func (g *Gossip) syncPeers() []memberID {
-	if near := g.table.livingInZone(); len(near) > 0 && g.cfg.Rand.IntN(crossZoneSyncDivisor) > 0 {
+	near := g.table.livingInZone()
+	if len(near) > 0 && g.cfg.Rand.IntN(crossZoneSyncDivisor(len(near)+1)) > 0 {
 		return near
 	}
 	return g.table.living()
