--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -77,21 +76,6 @@
 	}
 }
 
-// nominationPause is the time between two reads of a node that finds no address.
-const nominationPause = 60 * time.Millisecond
-
-// firstNomination is the probability with which a node nominates itself in its first
-// round. It doubles with each round, so that a node that is alone waits for at most seven
-// pauses, and of a thousand nodes that start together about eight nominate themselves
-// before they see each other's addresses.
-const firstNomination = 1.0 / 128
-
-// nominationProbability returns the probability with which a node that has found no
-// address for a number of rounds stores its own.
-func nominationProbability(round int) float64 {
-	return min(math.Ldexp(firstNomination, round), 1)
-}
-
 // offerExactly makes an exact read of the bootstrap objects, offers this node's address
 // and returns the objects as read.
 func (n *Node) offerExactly(ctx context.Context) ([]objects.Object, error) {
--- a/node/observedstore.go
+++ b/node/observedstore.go
@@ -99,11 +99,17 @@
 	return found, revision, err
 }
 
+// Labels of relaxed reads, which the platform charges at a lower price.
+const (
+	opRelaxedGet  objects.Op = "relaxed-get"
+	opRelaxedList objects.Op = "relaxed-list"
+)
+
 // GetRelaxed implements objects.RelaxedReader.
 func (s *observedStore) GetRelaxed(ctx context.Context, kind, name string) (objects.Object, error) {
 	start := time.Now()
 	o, err := objects.GetRelaxed(ctx, s.Store, kind, name)
-	s.note(objects.OpGet, start, err)
+	s.note(opRelaxedGet, start, err)
 	return o, err
 }
 
@@ -111,7 +117,7 @@
 func (s *observedStore) ListRelaxed(ctx context.Context, kind, prefix string) ([]objects.Object, error) {
 	start := time.Now()
 	found, err := objects.ListRelaxed(ctx, s.Store, kind, prefix)
-	s.note(objects.OpList, start, err)
+	s.note(opRelaxedList, start, err)
 	return found, err
 }
 
