membership: a neighbour outside the zone that has not answered is skipped in a round

A member that answers late would get one exchange for each round of news, as the neighbours in the zone do not: rumorRound skips those with an exchange under way. The change is passed on to the other neighbour outside, or in a later round. No failure was seen; found on reading.

--- a/membership/loop.go
+++ b/membership/loop.go
@@ -227,19 +227,20 @@
 }
 
 // rumorRound prepares one round of rumors: the same entries for the next Fanout
-// neighbours in the zone, and those that are due for the neighbours outside. Going
-// through the neighbours in turn makes a rumor that is sent often enough reach each of
-// them, whereas a random choice would select some twice. A neighbour that has not
-// answered the last round is skipped: sending at a fixed rate to members that answer late
-// prolongs an overload.
+// neighbours in the zone, and those that are due for the neighbours outside. Going through
+// the neighbours in turn makes a rumor that is sent often enough reach each of them,
+// whereas a random choice would select some twice. A neighbour that has not answered the
+// last round is skipped: sending at a fixed rate to members that answer late prolongs an
+// overload.
 func (g *Gossip) rumorRound() []func() {
 	g.refreshPeers()
 	var near, outside []memberID
 	for _, id := range g.rumorPeers() {
-		if g.outside(id) {
-			outside = append(outside, id)
-		} else {
+		switch {
+		case !g.outside(id):
 			near = append(near, id)
+		case g.sending[id] == 0:
+			outside = append(outside, id)
 		}
 	}
 	work := g.crossZoneRound(outside)
