call: the headers of a call and of its report share one allocation each

Each header that nodes exchange cost an allocation of its own and a conversion of its name, for names that are constants in canonical form.

--- a/call/context.go
+++ b/call/context.go
@@ -184,24 +184,32 @@
 
 // Inject writes c to h, replacing existing values.
 func (c Context) Inject(h http.Header) {
-	h.Set(HeaderRequest, c.RequestID)
-	h.Set(HeaderProfile, c.Profile)
-	h.Set(HeaderLevel, strconv.Itoa(int(c.Level)))
+	f := newHeaderFields(h, maxContextFields)
+	f.set(HeaderRequest, c.RequestID)
+	f.set(HeaderProfile, c.Profile)
+	f.setNumber(HeaderLevel, int(c.Level))
 	// The deadline may have passed by now. The next hop would refuse a negative value
 	// as a malformed header, and the caller would receive a bad-request error.
 	left := min(max(c.Timeout, 0), MaxTimeout)
-	h.Set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
-	h.Set(HeaderCredit, strconv.Itoa(c.Credit))
-	h.Set(HeaderDepth, strconv.Itoa(c.Depth))
-	setOptional(h, HeaderHost, c.Host)
-	setOptional(h, HeaderOrigin, url.PathEscape(c.Origin))
-	setOptional(h, HeaderCustomer, url.PathEscape(c.Customer))
-	setOptionalNumber(h, HeaderProgress, c.Progress)
-	setOptionalNumber(h, HeaderHeldBack, min(c.RefusedShare, maxShare))
-	setOptionalNumber(h, HeaderRepeat, boolToInt(c.Repeat))
-	setOptionalNumber(h, HeaderEnds, min(c.Ends, maxCrashes))
+	f.set(HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	f.setNumber(HeaderCredit, c.Credit)
+	f.setNumber(HeaderDepth, c.Depth)
+	f.setOptional(HeaderHost, c.Host)
+	f.setOptional(HeaderOrigin, url.PathEscape(c.Origin))
+	f.setOptional(HeaderCustomer, url.PathEscape(c.Customer))
+	f.setOptionalNumber(HeaderProgress, c.Progress)
+	f.setOptionalNumber(HeaderHeldBack, min(c.RefusedShare, maxShare))
+	f.setOptionalNumber(HeaderRepeat, boolToInt(c.Repeat))
+	f.setOptionalNumber(HeaderEnds, min(c.Ends, maxCrashes))
 }
 
+// maxContextFields and maxReportFields are the numbers of headers of a Context and of a
+// Report.
+const (
+	maxContextFields = 13
+	maxReportFields  = 10
+)
+
 // boolToInt converts a boolean to 0 or 1.
 func boolToInt(set bool) int {
 	if set {
@@ -210,24 +218,6 @@
 	return 0
 }
 
-// setOptionalNumber sets a header that is absent if its value is 0.
-func setOptionalNumber(h http.Header, name string, value int) {
-	if value == 0 {
-		h.Del(name)
-		return
-	}
-	h.Set(name, strconv.Itoa(value))
-}
-
-// setOptional sets a header that is absent if its value is empty.
-func setOptional(h http.Header, name, value string) {
-	if value == "" {
-		h.Del(name)
-		return
-	}
-	h.Set(name, value)
-}
-
 // Extract reads the Context that another node wrote. For a missing, malformed or
 // out-of-range header the error is a *HeaderError.
 func Extract(h http.Header) (Context, error) {
@@ -312,25 +302,26 @@
 
 // Inject writes r to the headers of a response.
 func (r Report) Inject(h http.Header) {
-	h.Set(HeaderOutcome, r.Outcome.String())
+	f := newHeaderFields(h, maxReportFields)
+	f.set(HeaderOutcome, r.Outcome.String())
 	if r.Reason != ReasonNone {
-		h.Set(HeaderReason, string(r.Reason))
+		f.set(HeaderReason, string(r.Reason))
 	}
 	if r.Hop != "" {
-		h.Set(HeaderHop, r.Hop)
+		f.set(HeaderHop, r.Hop)
 	}
-	h.Set(HeaderWorst, strconv.Itoa(int(r.HighestAdmitLevel)))
-	h.Set(HeaderCreditLeft, strconv.Itoa(r.CreditLeft))
-	h.Set(HeaderLoad, strconv.Itoa(min(r.Load, maxLoad)))
+	f.setNumber(HeaderWorst, int(r.HighestAdmitLevel))
+	f.setNumber(HeaderCreditLeft, r.CreditLeft)
+	f.setNumber(HeaderLoad, min(r.Load, maxLoad))
 	if r.Pressure > 0 {
-		h.Set(HeaderPressure, strconv.Itoa(min(r.Pressure, maxShare)))
+		f.setNumber(HeaderPressure, min(r.Pressure, maxShare))
 	}
 	if r.Work > 0 {
-		h.Set(HeaderWork, strconv.Itoa(min(r.Work, maxWork)))
+		f.setNumber(HeaderWork, min(r.Work, maxWork))
 	}
 	if r.Ends > 0 {
-		h.Set(HeaderEnds, strconv.Itoa(min(r.Ends, maxCrashes)))
-		setOptionalNumber(h, HeaderEndsStamp, int(min(r.EndsStamp, maxCrashesStamp)))
+		f.setNumber(HeaderEnds, min(r.Ends, maxCrashes))
+		f.setOptionalNumber(HeaderEndsStamp, int(min(r.EndsStamp, maxCrashesStamp)))
 	}
 }
 
@@ -339,7 +330,7 @@
 // nothing.
 func ExtractReport(h http.Header) (Report, error) {
 	var r Report
-	outcome, err := ParseOutcome(h.Get(HeaderOutcome))
+	outcome, err := ParseOutcome(fieldOf(h, HeaderOutcome))
 	if err != nil {
 		return Report{}, err
 	}
@@ -367,10 +358,10 @@
 		return Report{}, err
 	}
 	r.EndsStamp = uint64(stamp)
-	if reason := h.Get(HeaderReason); len(reason) <= maxNameLength {
+	if reason := fieldOf(h, HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
-	if hop := h.Get(HeaderHop); len(hop) <= maxNameLength {
+	if hop := fieldOf(h, HeaderHop); len(hop) <= maxNameLength {
 		r.Hop = hop
 	}
 	r.Outcome = outcome
@@ -380,7 +371,7 @@
 
 // token reads a header of 1 to limit visible ASCII characters.
 func token(h http.Header, name string, limit int) (string, error) {
-	value := h.Get(name)
+	value := fieldOf(h, name)
 	if !ValidToken(value, limit) {
 		return "", &HeaderError{Header: name, Value: value, Want: "1 to " + strconv.Itoa(limit) + " visible ASCII characters"}
 	}
@@ -425,7 +416,7 @@
 
 // number reads an unsigned decimal header value from 0 to limit.
 func number(h http.Header, name string, limit int) (int, error) {
-	value := h.Get(name)
+	value := fieldOf(h, name)
 	n, ok := parseDigits(value)
 	if !ok || n > limit {
 		return 0, &HeaderError{Header: name, Value: value, Want: "a number from 0 to " + strconv.Itoa(limit)}
