node: a platform that does not respond no longer delays the first election

The first members offered their addresses before they elected watchers, and waited up to three seconds for a silent platform; they are likely watchers themselves. Found on reading, no failure was seen. The offer runs beside the election.

--- a/node/configsync.go
+++ b/node/configsync.go
@@ -142,7 +142,8 @@
 	if !n.awaitSettled(ctx) {
 		return
 	}
-	n.offerOnceSettled(ctx)
+	// A platform that does not respond must not delay the election.
+	n.done.Go(func() { n.offerOnceSettled(ctx) })
 	for ; ctx.Err() == nil; objects.Pause(ctx, electInterval) {
 		watch := n.watchesPlatform()
 		switch {
