node, membership: elections wait until a node knows what its peers know

Cause, from a trial whose nodes printed each call (987 VMs, the first six seconds): 251 nodes elected themselves as watchers 1 to 2 s after the start, where 15 are wanted, and each listed twice and watched; half a second without a new member is no sign of a complete view while 987 nodes join. And 288 nodes that could not join at once, as the few first addresses were crowded, made an exact list and offered their own address.

A node that could not join makes an exact read only if a relaxed one names no address that it has not tried.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -133,6 +133,7 @@
 		g.fetch(from, m.Version)
 	}
 	g.mu.Lock()
+	g.largestPeer = max(g.largestPeer, int(m.Size))
 	pending := g.rumors.pending() || len(g.doubts) > 0
 	g.mu.Unlock()
 	if pending {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -43,8 +43,10 @@
 	// largerPeer is a member that knows far more members than this process; the next
 	// sync goes to it.
 	largerPeer memberID
-	due        schedule
-	subs       []func()
+	// largestPeer is the largest number of members that a peer reported to know.
+	largestPeer int
+	due         schedule
+	subs        []func()
 
 	view     atomic.Pointer[view]
 	version  atomic.Uint64
--- a/membership/stats.go
+++ b/membership/stats.go
@@ -42,6 +42,8 @@
 	SeedCalls, SeedErrors uint64
 	// InboundRefused counts connections rejected because of MaxInbound.
 	InboundRefused uint64
+	// LargestPeer is the largest number of members that a peer reported to know.
+	LargestPeer int
 	// Alive, Suspect, Dead and Left count members, including this process.
 	Alive, Suspect, Dead, Left int
 }
@@ -51,7 +53,7 @@
 	s := &g.stats
 	v := g.view.Load()
 	g.mu.Lock()
-	c := g.table.counts
+	c, largestPeer := g.table.counts, g.largestPeer
 	g.mu.Unlock()
 	return Stats{
 		BytesIn: s.bytesIn.Load(), BytesOut: s.bytesOut.Load(), Dials: s.dials.Load(),
@@ -62,6 +64,7 @@
 		Conflicts: c.conflicts, SeqOutOfRange: c.farAhead, TableFull: c.tableFull,
 		Pulls: s.pulls.Load(), Pauses: s.pauses.Load(),
 		SeedCalls: s.seedAsks.Load(), SeedErrors: s.seedErrors.Load(), InboundRefused: s.inboundRefused.Load(),
-		Alive: v.states[Alive], Suspect: v.states[Suspect], Dead: v.states[Dead], Left: v.states[Left],
+		LargestPeer: largestPeer,
+		Alive:       v.states[Alive], Suspect: v.states[Suspect], Dead: v.states[Dead], Left: v.states[Left],
 	}
 }
--- a/node/bootstrap.go
+++ b/node/bootstrap.go
@@ -53,19 +53,24 @@
 
 // findBootstraps reads the bootstrap objects. While a node that starts finds no address of
 // another node, it repeats the relaxed read and nominates itself with increasing
-// probability. A node that could not join through the stored addresses makes an exact
-// read and offers its own address in any case.
+// probability. A node that could not join through the stored addresses, and finds no new
+// ones, makes an exact read and offers its own address in any case.
 func (n *Node) findBootstraps(ctx context.Context, nominate bool) ([]objects.Object, error) {
 	if n.gossip.Stats().Alive > 1 {
 		return n.keepBootstraps(ctx)
 	}
-	if n.seedsRead.Swap(true) {
-		return n.offerExactly(ctx)
-	}
 	for round := 0; ; round++ {
 		found, err := objects.ListRelaxed(ctx, n.store, bootstrapKind, "")
-		if err != nil || !nominate || n.namesOthers(found) {
-			return found, err
+		if err != nil {
+			return nil, err
+		}
+		others := n.otherAddrs(found)
+		tried := n.triedSeeds.Swap(&others)
+		if tried != nil && round == 0 && !addsTo(*tried, others) {
+			return n.offerExactly(ctx)
+		}
+		if !nominate || len(others) > 0 {
+			return found, nil
 		}
 		if rand.Float64() < nominationProbability(round) {
 			return n.offerExactly(ctx)
@@ -86,12 +91,20 @@
 	return found, err
 }
 
-// namesOthers reports whether an object names another node.
-func (n *Node) namesOthers(found []objects.Object) bool {
+// otherAddrs returns the addresses of other nodes that the objects name.
+func (n *Node) otherAddrs(found []objects.Object) (addrs []string) {
 	own := n.gossipAddr()
-	return slices.ContainsFunc(found, func(o objects.Object) bool {
-		return o.Name != fleetSizeName && string(o.Value) != own && isAddress(string(o.Value))
-	})
+	for _, o := range found {
+		if o.Name != fleetSizeName && string(o.Value) != own && isAddress(string(o.Value)) {
+			addrs = append(addrs, string(o.Value))
+		}
+	}
+	return addrs
+}
+
+// addsTo reports whether an address in found is not in known.
+func addsTo(known, found []string) bool {
+	return slices.ContainsFunc(found, func(addr string) bool { return !slices.Contains(known, addr) })
 }
 
 // bootstrapAddrs returns the addresses that the objects name, and reads the stored size
--- a/node/configsync.go
+++ b/node/configsync.go
@@ -156,42 +156,6 @@
 	}
 }
 
-const (
-	// settlePause is the time between two checks whether the membership has settled.
-	settlePause = 250 * time.Millisecond
-	// minSettleChecks is the number of checks before the first election, and
-	// maxSettleChecks the number after which it takes place in any case.
-	minSettleChecks = 4
-	maxSettleChecks = 16
-	// quietChecks is the number of consecutive checks without a new member after which
-	// the membership counts as settled.
-	quietChecks = 2
-)
-
-// awaitSettled waits until this node has learned of the members, and returns false if ctx
-// ends first.
-//
-// A node that has just started knows few members and would elect itself as a watcher.
-// When all nodes of a fleet start, each would list and watch for a moment, which is more
-// reads than the platform allows, and the time until a node knows the others grows with
-// the fleet.
-func (n *Node) awaitSettled(ctx context.Context) bool {
-	known, quiet := 0, 0
-	for check := range maxSettleChecks {
-		if check >= minSettleChecks && quiet >= quietChecks {
-			break
-		}
-		if !objects.Pause(ctx, settlePause) {
-			return false
-		}
-		quiet++
-		if alive := n.gossip.Stats().Alive; alive != known {
-			known, quiet = alive, 0
-		}
-	}
-	return ctx.Err() == nil
-}
-
 // fetchConfig reads the configuration once, at the start. The read is relaxed: the
 // members pass on what is newer, and a node without members soon watches the platform.
 func (n *Node) fetchConfig(ctx context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -115,8 +115,9 @@
 	// joined the gossip and may announce them.
 	ownSlots atomic.Int64
 	joined   atomic.Bool
-	// seedsRead is set once this node has read the bootstrap objects.
-	seedsRead atomic.Bool
+	// triedSeeds are the addresses that this node found while it knew no other member, nil
+	// if it has not looked for any.
+	triedSeeds atomic.Pointer[[]string]
 	// reportedLoad is the load that the upstream on this VM reported last, nil if none.
 	reportedLoad atomic.Pointer[receivedLoad]
 	// work measures the work time of the upstream on this VM, which other members use to
