--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -229,18 +229,24 @@
 	return n
 }
 
+// newNetwork returns a network without nodes. All nodes stop at the end of the test.
+func newNetwork(t *testing.T, seed int) *network {
+	ctx, cancel := context.WithCancel(t.Context())
+	w := &network{c: qt.New(t), ctx: ctx, byAddr: map[string]*testNode{}, rng: rand.New(rand.NewPCG(uint64(seed), 7))}
+	t.Cleanup(func() {
+		cancel()
+		for _, n := range w.nodes {
+			n.Gossip.Close()
+		}
+	})
+	return w
+}
+
 // cluster runs body with size members that know each other, in virtual time.
 func cluster(t *testing.T, size int, body func(w *network)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		w := &network{c: qt.New(t), ctx: ctx, byAddr: map[string]*testNode{}, rng: rand.New(rand.NewPCG(uint64(size), 7))}
-		t.Cleanup(func() {
-			cancel()
-			for _, n := range w.nodes {
-				n.Gossip.Close()
-			}
-		})
+		w := newNetwork(t, size)
 		for i := range size {
 			w.add(i)
 		}
--- a/membership/startbytes_test.go
+++ b/membership/startbytes_test.go
@@ -16,14 +16,7 @@
 // the meter, and the time until every member knew all others.
 func startTogether(t *testing.T, size int) (m *meter, took time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		w := &network{c: qt.New(t), ctx: ctx, byAddr: map[string]*testNode{}, rng: rand.New(rand.NewPCG(uint64(size), 7))}
-		t.Cleanup(func() {
-			cancel()
-			for _, n := range w.nodes {
-				n.Gossip.Close()
-			}
-		})
+		w := newNetwork(t, size)
 		seeds := func(context.Context) ([]string, error) {
 			var addrs []string
 			for _, n := range w.nodes[:8] {
@@ -51,7 +44,6 @@
 		}
 		took = w.within(30*time.Second, func(n *testNode) bool { return n.countState(Alive) == size })
 		time.Sleep(20 * time.Second)
-		cancel()
 	})
 	return m, took
 }
