--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -15,6 +15,8 @@
 	allowed  map[string][]string
 	attempts int
 	timeout  time.Duration
+	// vms is the number of VMs of the fleet.
+	vms int
 
 	drain        time.Duration
 	retryRatio   float64
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -10,6 +10,7 @@
 
 var plantedTerms = terms{
 	allowed:  map[string][]string{"/file/": {"filing"}, pathBrowse: {"web"}, "/probe/": {"web", "filing"}},
+	vms:      6,
 	attempts: 2, timeout: time.Second, drain: 2 * time.Second,
 	retryRatio: 0.2, retrySlack: 8, retryWindow: 10 * time.Second, maxLateShare: 0.25, learning: 5 * time.Second, timed: true, planned: true,
 }
