--- a/node/dialect.go
+++ b/node/dialect.go
@@ -75,6 +75,10 @@
 	// reports one that can't be read.
 	Load          UpstreamLoad
 	MalformedLoad bool
+	// Notice is what the upstream states about itself in an answer that is proved to be
+	// its own. MalformedNotice is set if a part of it can't be read.
+	Notice          UpstreamNotice
+	MalformedNotice bool
 }
 
 // NodeRefusal is an answer that a node gives itself, in place of the upstream.
--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -14,6 +14,7 @@
 func (l *localCall) answeredInDialect(up *upstream, resp *http.Response) *answer {
 	reported := l.node.settings.Dialect.ReadUpstream(resp, l.node.upstreamDescription(up, l.request))
 	l.node.noteUpstreamLoad(reported)
+	l.node.recordNotice(up, reported)
 	stripHop(resp.Header)
 	l.node.stripReservedHeaders(resp.Header)
 	switch reported.Outcome {
--- a/node/upstreamcrash.go
+++ b/node/upstreamcrash.go
@@ -36,6 +36,8 @@
 	silentUntil, lastSeen time.Time
 	// completed records the requests that completed.
 	completed quarantine.Completions
+	// notices is what the incarnation states about itself in its responses.
+	notices noticeState
 
 	mu sync.Mutex
 	// unanswered lists the runs that ended without an answer while the upstream seemed
--- a/node/upstreamload.go
+++ b/node/upstreamload.go
@@ -47,4 +47,5 @@
 	n.metrics.UpstreamReported.With("waiting").Update(float64(load.Waiting))
 	n.metrics.UpstreamReported.With("slots").Update(float64(load.Slots))
 	n.metrics.UpstreamReported.With("work-time").Update(load.WorkTime)
+	n.metrics.UpstreamReported.With("limit").Update(n.namedLimit())
 }
--- a/observe/events.go
+++ b/observe/events.go
@@ -24,6 +24,7 @@
 	ShutdownBegun       = defineEvent(1021, "shutdown-begun", Info, "The process was told to exit and begins its drain. The line gives the requests that are being served and the time that the drain may take.", noAction)
 	ProcessEnds         = defineEvent(1022, "process-ends", Info, "The process exits. The line accounts for all requests that it has read: answered, cut, and open. An incarnation (the field node) whose log has no such line was killed, or its last lines were lost.", "None, if no request is cut or open; otherwise read the lines of event 4030 before it.")
 	DrainProgress       = defineEvent(1023, "drain-progress", Info, "A drain is under way. Logged once a second: the requests that are being served, the oldest of them and its age, and the time left.", "None; after a kill, the last such line shows what the process held.")
+	UpstreamLeaving     = defineEvent(1024, "upstream-leaving", Info, "The upstream stated in a response that it is about to stop.", noAction)
 	TraceExportFailed   = defineEvent(1014, "trace-export-failed", Warn, "Spans could not be sent to the collector.", "See whether the collector is up; calls are not affected.")
 )
 
@@ -75,6 +76,9 @@
 	TargetAvoided    = defineEvent(4010, "target-avoided", Warn, "A target is left out of routing because it fails or is slow.", "Look at the node named.")
 	TargetBack       = defineEvent(4011, "target-back", Info, "A target that was left out is used again.", noAction)
 	UpstreamShed     = defineEvent(4012, "upstream-shed", Warn, "The upstream refused calls that this node had admitted.", "The upstream's own limit is below the node's; compare the two.")
+	UpstreamLimited  = defineEvent(4031, "upstream-limited", Warn, "The upstream named a limit in its responses: the requests a second that it takes from all nodes together. The line gives the limit.", "Find out what the upstream is short of.")
+	UpstreamFreed    = defineEvent(4032, "upstream-limit-ended", Info, "The upstream no longer names a limit.", noAction)
+	UpstreamOverrun  = defineEvent(4033, "upstream-limit-exceeded", Error, "Within four seconds this node sent its upstream more requests than one and a half times the named limit allows. Logged at most once a second, with both counts.", "Report it as a fault of pollengauge, with the lines of event 4031 before it.")
 	LevelBelowRaised = defineEvent(4013, "level-below-raised", Info, "A deeper hop refuses by level, so this root refuses the same requests early.", "Run top and look at the deeper service.")
 )
 
--- a/observe/field.go
+++ b/observe/field.go
@@ -1,6 +1,9 @@
 package observe
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 type fieldKind uint8
 
@@ -10,6 +13,7 @@
 	durationField
 	boolField
 	errorField
+	floatField
 )
 
 // Field is one key of a log line with its typed value.
@@ -31,6 +35,11 @@
 // Int64 returns an integer field.
 func Int64(key string, value int64) Field { return Field{key: key, kind: intField, number: value} }
 
+// Float returns a field with a decimal number.
+func Float(key string, value float64) Field {
+	return Field{key: key, kind: floatField, number: int64(math.Float64bits(value))}
+}
+
 // Dur returns a duration field.
 func Dur(key string, value time.Duration) Field {
 	return Field{key: key, kind: durationField, number: int64(value)}
@@ -53,6 +62,8 @@
 	switch f.kind {
 	case intField:
 		return f.number
+	case floatField:
+		return math.Float64frombits(uint64(f.number))
 	case durationField:
 		return time.Duration(f.number).String()
 	case boolField:
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -60,7 +60,7 @@
 var (
 	retryLeftMetric        = defineMetric("pollengauge_retry_budget_left", GaugeKind, unitCount, "Retries on a service that this node may still make now, where each service has a bound of its own. 0 while it fails is the bound at work.", "service")
 	serviceLevelMetric     = defineMetric("pollengauge_service_level", GaugeKind, unitCount, "Highest admission level that a service's upstreams told of lately, as one number (priority times 128 plus tie-break). Requests below it are likely to be refused there.", "service")
-	upstreamReportedMetric = defineMetric("pollengauge_upstream_reported", GaugeKind, unitCount, "What the upstream on this VM reported of itself in the last ten seconds: requests that run, requests that wait, slots, and work-time, the time that work takes as a multiple of the usual one.", "figure")
+	upstreamReportedMetric = defineMetric("pollengauge_upstream_reported", GaugeKind, unitCount, "What the upstream on this VM reported of itself in the last ten seconds: requests that run, requests that wait, slots, and work-time, the time that work takes as a multiple of the usual one; and limit, the requests a second that it takes from all nodes together, 0 if it names none.", "figure")
 	serviceLoadMetric      = defineMetric("pollengauge_service_load_ratio", GaugeKind, unitRatio, "Mean load that a service's upstreams told of lately, as a share of their limits.", "service")
 	connectionsMetric      = defineMetric("pollengauge_connections", GaugeKind, unitCount, "Open connections, by listener.", "listener")
 	logLinesMetric         = defineMetric("pollengauge_log_lines_lost_total", CounterKind, unitCount, "Log lines that were not written: over the rate of their event (left-out), or for want of a reader (dropped).", "cause")
