node: a failing test of the limit that an upstream names (known red)

Three nodes send 60 requests a second each to one upstream, in virtual time. From 3 s on it names a limit of 20 a second in its responses.

--- a/node/plaindialect_test.go
+++ b/node/plaindialect_test.go
@@ -19,7 +19,8 @@
 )
 
 // plainDialect is a small dialect for tests. X-Id identifies a request; an upstream
-// states in X-Echo which request it answers, and in X-Not-Run that it did not run it.
+// states in X-Echo which request it answers, in X-Not-Run that it did not run it, in X-Limit
+// how many requests a second it takes, and in X-Leaving that it is about to stop.
 type plainDialect struct{}
 
 func (plainDialect) ReadCaller(h http.Header) (CallerRequest, error) {
@@ -43,6 +44,15 @@
 }
 
 func (plainDialect) ReadUpstream(a *http.Response, u UpstreamRequest) UpstreamAnswer {
+	answer := plainOutcome(a, u)
+	if answer.Outcome == call.Complete {
+		limit, err := strconv.ParseFloat(a.Header.Get("X-Limit"), 64)
+		answer.Notice = UpstreamNotice{Limit: limit, Limited: err == nil, Leaving: a.Header.Get("X-Leaving") != ""}
+	}
+	return answer
+}
+
+func plainOutcome(a *http.Response, u UpstreamRequest) UpstreamAnswer {
 	switch {
 	case a.Header.Get("X-Echo") != u.ID:
 		return UpstreamAnswer{Outcome: call.Unknown, Reason: call.ReasonInvalidAnswer}
