node, admission, call: the limit that an upstream names holds over all nodes

Cause: no part read the limit. The gate beside the upstream bounds the requests that run at once, 343 slots, and these answer as fast as ever, so nothing fell. The class: what an upstream states about its own capacity in its responses was forwarded and not acted upon.

The rate is held at one place, the gate beside the upstream, through which each request goes: it dispatches at the named rate, with a burst of a quarter of a second, in the usual order of importance. That place forgets when its node restarts, and nodes elsewhere do not: they remember what they passed on and state it in their calls, so that the limit is in force again with the first of them. It ends with the incarnation, or when three responses and a second name none; never below one request in two seconds, since only responses show the end.

What is over goes elsewhere before it is sent: the gate's load and pressure count the rate, so other upstreams get more and the roots refuse the least important requests once all are limited. Refusals have a reason of their own, upstream-limit, which asks for another upstream; the metrics' bound of series is raised so that it covers the new reason.

--- a/admission/capacity.go
+++ b/admission/capacity.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // The capacity in use is counted in a single word. A call takes capacity in one
 // atomic step, and a visit that ends can't miss a call that has just been
 // queued. With many processors the word is contended, so each shard keeps the
@@ -54,15 +56,19 @@
 	return false
 }
 
-// takeQueuedCapacity takes capacity for a queued visit, if there is any. The gate's
-// lock is held.
-func (g *Gate) takeQueuedCapacity() bool {
+// takeQueuedCapacity takes capacity for a queued visit, if there is any and the rate of
+// dispatches allows it. The gate's lock is held.
+func (g *Gate) takeQueuedCapacity(now time.Duration) bool {
+	if g.rate.untilDue(now) > 0 {
+		return false
+	}
 	for {
 		word := g.word.Load()
 		if !g.withinLimits(word + oneVisit) {
 			return false
 		}
 		if g.word.CompareAndSwap(word, word+oneVisit) {
+			g.rate.take()
 			return true
 		}
 	}
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -22,8 +22,11 @@
 // profiles that prefer a stale response to a refusal. ShouldRefuse reports whether a
 // node is too far behind with its own work to begin more.
 //
-// All exported methods may be called concurrently. The package starts no
-// goroutines and does no I/O: a measurement window is closed by the first call
-// that comes after its end. The decisions themselves are pure functions of the
+// SetRate adds a limit on the calls dispatched in a second, for an upstream that names
+// one.
+//
+// All exported methods may be called concurrently. The package does no I/O and starts no
+// goroutines, except for a timer while a rate holds calls back: a measurement window is
+// closed by the first call that comes after its end. The decisions themselves are pure functions of the
 // values and times passed in.
 package admission
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -64,6 +64,10 @@
 	load      atomic.Int32
 	// loadUntil is the time at which the cached load expires.
 	loadUntil atomic.Int64
+	// rateLimited is set while rate limits the dispatches; rateLoad is its load in
+	// thousandths.
+	rateLimited atomic.Bool
+	rateLoad    atomic.Int32
 	// pressurePerMille is the pressure in thousandths.
 	pressurePerMille atomic.Int32
 	profiles         profileMap[profileStats]
@@ -78,6 +82,9 @@
 	pressureState   pressureState
 	limiter         *limiter
 	levelController *levelController
+	rate            rateLimit
+	// rateTimer dispatches queued calls when the rate allows it; nil until it is needed.
+	rateTimer *time.Timer
 }
 
 // NewGate returns a Gate for the configuration, or a *ConfigError if the
@@ -118,7 +125,7 @@
 		g.visits.Put(v)
 		return Ticket{}, g.refuse(shard, reason, r)
 	}
-	if g.takeCapacity(shard) {
+	if !g.rateLimited.Load() && g.takeCapacity(shard) {
 		shard.admitted.Add(1)
 		return v.begin(profile, now, 0), nil
 	}
@@ -216,7 +223,7 @@
 	switch reason {
 	case call.ReasonDraining, call.ReasonCancelled:
 		return 0
-	case call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonDeadline:
+	case call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamLimit, call.ReasonDeadline:
 		return shortRetryAfter
 	}
 	step := levelRetryRecovery + time.Duration(r.Preference*float64(levelRetryGoodput-levelRetryRecovery))
--- a/admission/state.go
+++ b/admission/state.go
@@ -25,7 +25,7 @@
 const loadTTL = time.Millisecond
 
 // Load returns the utilization in thousandths, queued calls included: that of
-// the limit or that of the slots, whichever is higher. The value may be a
+// the limit, that of the slots or that of the rate set by SetRate, whichever is highest. The value may be a
 // millisecond old.
 func (g *Gate) Load() int {
 	now := int64(g.now())
@@ -43,7 +43,7 @@
 	active, inflight := g.counts()
 	byLimit := (active + queued) * thousand / max(int(g.limit.Load()), 1)
 	bySlots := (inflight + queued) * thousand / max(int(g.slots.Load()), 1)
-	return max(byLimit, bySlots)
+	return max(byLimit, bySlots, int(g.rateLoad.Load()))
 }
 
 // queued returns the number of queued calls. It takes the lock only if there
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -22,6 +22,7 @@
 	call.ReasonLevel,
 	call.ReasonQueueFull,
 	call.ReasonQueueWait,
+	call.ReasonUpstreamLimit,
 	call.ReasonDeadline,
 	call.ReasonCancelled,
 	call.ReasonDraining,
@@ -142,14 +143,15 @@
 	return uint64(thousand / (1 - min(max(heldBack, 0), maxPressure)))
 }
 
-// offered returns the service time, in seconds, of the demand since the previous
-// call of offered, including requests refused at their roots. The gate's lock is
-// held.
-func (p *profileStats) offered() float64 {
+// offered returns the demand since the previous call of offered, including requests
+// refused at their roots: the number of calls, and their service time in seconds. The
+// gate's lock is held.
+func (p *profileStats) offered() (calls, seconds float64) {
 	demand := p.demand.Load()
 	fresh := demand - p.lastDemand
 	p.lastDemand = demand
-	return float64(fresh) / thousand * p.mean / float64(time.Second)
+	calls = float64(fresh) / thousand
+	return calls, calls * p.mean / float64(time.Second)
 }
 
 func (p *profileStats) decayService() {
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -20,12 +20,14 @@
 	g.mu.Lock()
 	g.reclaimReserves()
 	shard := &g.shards[v.shard]
-	if g.queue.size == 0 && g.takeQueuedCapacity() {
+	if g.queue.size == 0 && g.takeQueuedCapacity(now) {
 		g.mu.Unlock()
 		shard.admitted.Add(1)
 		return v.begin(p, now, 0), nil
 	}
-	g.window.capacityExhausted = true
+	if g.rate.untilDue(now) == 0 {
+		g.window.capacityExhausted = true
+	}
 	w, reason := g.enqueue(ctx, r, p, now)
 	g.reclaimReserves()
 	g.dispatch(now)
@@ -66,8 +68,12 @@
 			reason = call.ReasonDeadline
 		}
 	}
+	if g.rate.limited {
+		// Another upstream may have no such limit, so the call is not refused for good.
+		reason = call.ReasonUpstreamLimit
+	}
 	c := classOf(r)
-	if g.expectedWait(c) >= maxWait {
+	if g.expectedWait(c, now) >= maxWait {
 		g.window.queueRefused++
 		return nil, reason
 	}
@@ -97,8 +103,12 @@
 // so that a call which would wait too long is refused on arrival. With a
 // learned limit the spacing of visits is too inaccurate for this: calls were
 // refused that would have been dispatched in time.
-func (g *Gate) expectedWait(c class) time.Duration {
+func (g *Gate) expectedWait(c class, now time.Duration) time.Duration {
 	ahead := g.queue.countAhead(c, g.config.SlotShare > 0)
+	if g.rate.limited {
+		spacing := max(g.window.spacing, g.rate.spacing())
+		return g.rate.untilDue(now) + time.Duration(float64(ahead)*spacing)
+	}
 	return time.Duration(float64(ahead) * g.window.spacing)
 }
 
@@ -144,7 +154,10 @@
 			g.resolve(w, reason, now)
 			continue
 		}
-		if !g.takeQueuedCapacity() {
+		if !g.takeQueuedCapacity(now) {
+			if due := g.rate.untilDue(now); due > 0 {
+				g.dispatchLater(due)
+			}
 			break
 		}
 		g.queue.remove(w)
--- a/admission/window.go
+++ b/admission/window.go
@@ -48,7 +48,11 @@
 	admitted uint64
 }
 
-const thousand = 1000
+const (
+	thousand = 1000
+	// maxRateLoad bounds the load of a rate, in thousandths.
+	maxRateLoad = 100 * thousand
+)
 
 // meanWeight is the weight of one window in the moving means.
 const meanWeight = 0.3
@@ -115,10 +119,18 @@
 		meanService: time.Duration(w.meanService),
 	}
 	p.admitted = admitted
+	var calls, slotSeconds float64
 	for _, profile := range g.profiles.all() {
-		load.offered += profile.offered()
+		n, seconds := profile.offered()
+		calls += n
+		slotSeconds += seconds
+	}
+	load.offered = slotSeconds / (elapsed.Seconds() * float64(max(int(g.limit.Load()), 1)))
+	if g.rate.limited {
+		load.offered = max(load.offered, calls/(elapsed.Seconds()*g.rate.rate))
+		g.rate.observe(load.arrived, elapsed)
+		g.rateLoad.Store(int32(min(g.rate.load*thousand, maxRateLoad)))
 	}
-	load.offered /= elapsed.Seconds() * float64(max(int(g.limit.Load()), 1))
 	if p.waitCount > 0 {
 		load.meanWait = p.waitSum / time.Duration(p.waitCount)
 	}
@@ -205,8 +217,8 @@
 		preference:   g.config.Preference,
 		windows:      max(int(elapsed/g.config.Window), 1),
 	}
-	if w.spacing > 0 {
-		d.capacity = float64(g.config.Window) / w.spacing
+	if spacing := max(w.spacing, g.rate.spacing()); spacing > 0 {
+		d.capacity = float64(g.config.Window) / spacing
 	}
 	if w.preferenceCount > 0 {
 		d.preference = w.preferenceSum / float64(w.preferenceCount)
--- a/call/context.go
+++ b/call/context.go
@@ -99,6 +99,7 @@
 	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat, HeaderEnds,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin, HeaderCustomer,
 	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderEndsStamp, HeaderStale,
+	HeaderUpstreamInstance, HeaderUpstreamLimit, HeaderUpstreamLeaving,
 }
 
 // PropagatedHeaders are the headers that an upstream copies to its own calls.
@@ -180,6 +181,8 @@
 	// Customer is the name of the request's customer, "" for an upstream's call and if
 	// there is no customer.
 	Customer string
+	// Upstream is what the sender last heard from the upstream that the call is sent to.
+	Upstream UpstreamNotice
 }
 
 // Inject writes c to h, replacing existing values.
@@ -201,6 +204,7 @@
 	f.setOptionalNumber(HeaderHeldBack, min(c.RefusedShare, maxShare))
 	f.setOptionalNumber(HeaderRepeat, boolToInt(c.Repeat))
 	f.setOptionalNumber(HeaderEnds, min(c.Ends, maxCrashes))
+	c.Upstream.Inject(h)
 }
 
 // maxContextFields and maxReportFields are the numbers of headers of a Context and of a
@@ -265,6 +269,9 @@
 	if c.Customer, err = optionalText(h, HeaderCustomer, maxCustomerLength); err != nil {
 		return Context{}, err
 	}
+	if c.Upstream, err = ExtractUpstreamNotice(h); err != nil {
+		return Context{}, err
+	}
 	c.Level = Level(level)
 	c.Repeat = repeat == 1
 	c.Timeout = time.Duration(timeout) * time.Millisecond
@@ -298,6 +305,8 @@
 	// EndsStamp orders the values of Ends that different hops report: a newer value has
 	// a higher stamp. It stops at a million.
 	EndsStamp uint64
+	// Upstream is what the upstream states about itself at the time of the response.
+	Upstream UpstreamNotice
 }
 
 // Inject writes r to the headers of a response.
@@ -323,6 +332,7 @@
 		f.setNumber(HeaderEnds, min(r.Ends, maxCrashes))
 		f.setOptionalNumber(HeaderEndsStamp, int(min(r.EndsStamp, maxCrashesStamp)))
 	}
+	r.Upstream.Inject(h)
 }
 
 // ExtractReport reads the Report of a peer's response. If it returns an error, the
@@ -358,6 +368,9 @@
 		return Report{}, err
 	}
 	r.EndsStamp = uint64(stamp)
+	if r.Upstream, err = ExtractUpstreamNotice(h); err != nil {
+		return Report{}, err
+	}
 	if reason := fieldOf(h, HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -50,6 +50,9 @@
 	ReasonQueueFull Reason = "queue-full"
 	// ReasonQueueWait: the call waited in the queue for as long as its profile allows.
 	ReasonQueueWait Reason = "queue-wait"
+	// ReasonUpstreamLimit: the upstream takes a limited number of calls a second, and the
+	// call would have waited too long for its turn.
+	ReasonUpstreamLimit Reason = "upstream-limit"
 	// ReasonDeadline: the call could not complete before its deadline.
 	ReasonDeadline Reason = "deadline"
 	// ReasonLevel: the call's level was below this node's admission level.
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -51,6 +51,7 @@
 	down := req.call
 	down.Credit = lent
 	down.Timeout = req.deadline.Sub(n.now())
+	down.Upstream = n.heardNotices.forCall(addr, n.now())
 	down.Inject(out.Header)
 	setFields(out.Header, field{call.HeaderTraceParent, req.span.String()})
 	return out
@@ -128,7 +129,9 @@
 		defer cancel()
 		return n.peerFailed(callCtx, req, unsent || n.settings.Ablate.NoSealing, lent, err)
 	}
-	return n.peerAnswered(cancel, req, resp)
+	a := n.peerAnswered(cancel, req, resp)
+	n.heardNotices.record(addr, a.report, n.now())
+	return a
 }
 
 func (n *Node) peerFailed(ctx context.Context, req *request, unsent bool, lent int, err error) *answer {
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -76,8 +76,9 @@
 	Load          UpstreamLoad
 	MalformedLoad bool
 	// Notice is what the upstream states about itself in an answer that is proved to be
-	// its own. MalformedNotice is set if a part of it can't be read.
-	Notice          UpstreamNotice
+	// its own, without the instance. MalformedNotice is set if a part of it can't be
+	// read.
+	Notice          call.UpstreamNotice
 	MalformedNotice bool
 }
 
--- a/node/local.go
+++ b/node/local.go
@@ -23,6 +23,7 @@
 	if up == nil {
 		return n.refuse(call.NotRun, call.ReasonNoUpstream, 0)
 	}
+	n.adoptNotice(up, req.call.Upstream)
 	refused, trial := n.checkQuarantineHere(req)
 	if refused != nil {
 		return refused
@@ -184,6 +185,7 @@
 		r.Pressure = n.pressureOf(v.call.Profile)
 		r.Work = n.slotTimeOf(v)
 	}
+	r.Upstream = v.incarnation.notices.notice()
 }
 
 // lossReason returns the reason why a dispatched call has no response.
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,7 @@
 	changes       *loggedState
 	memberChanges *memberChanges
 	visits        *visits
+	heardNotices  *heardNotices
 	peers         *http.Transport
 	peerLimiter   *peerLimiter
 
@@ -171,6 +172,7 @@
 	n.configSince.Store(n.started.UnixNano())
 	n.id = string(atmostonce.NewIncarnation(rand.Reader))
 	n.visits = newVisits(n.id[:idPrefix] + ".")
+	n.heardNotices = newHeardNotices()
 	for _, build := range []func() error{n.buildTelemetry, n.buildNetworks, n.buildPlatform, n.buildDecisions, n.buildKeys} {
 		if err := build(); err != nil {
 			return nil, err
--- a/node/plaindialect_test.go
+++ b/node/plaindialect_test.go
@@ -47,7 +47,7 @@
 	answer := plainOutcome(a, u)
 	if answer.Outcome == call.Complete {
 		limit, err := strconv.ParseFloat(a.Header.Get("X-Limit"), 64)
-		answer.Notice = UpstreamNotice{Limit: limit, Limited: err == nil, Leaving: a.Header.Get("X-Leaving") != ""}
+		answer.Notice = call.UpstreamNotice{Limit: limit, Limited: err == nil, Leaving: a.Header.Get("X-Leaving") != ""}
 	}
 	return answer
 }
--- a/node/pressed_test.go
+++ b/node/pressed_test.go
@@ -22,7 +22,7 @@
 		total := 0
 		const runs, each, hot = 200, 5, 600
 		for range runs {
-			v := &visit{call: call.Context{Profile: "read"}, started: n.now(), credit: retry.NewCredit(0)}
+			v := &visit{call: call.Context{Profile: "read"}, started: n.now(), credit: retry.NewCredit(0), incarnation: newIncarnation()}
 			for i := range each {
 				f.c.Assert(v.begin(n.now()), qt.IsTrue)
 				n.graph.RecordCall("read", "lookup", n.now())
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -150,6 +150,9 @@
 	if old != nil && old.transport != next.transport {
 		old.transport.CloseIdleConnections()
 	}
+	if old != nil && old.incarnation != next.incarnation {
+		n.gate.ClearRate()
+	}
 	if old != nil && old.isOtherIncarnation(a) {
 		n.upstreamReplaced(old)
 	}
--- a/node/upstreamlimit_test.go
+++ b/node/upstreamlimit_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/call"
+	"pollengauge.dev/config"
 )
 
 const (
@@ -30,6 +33,7 @@
 	told     map[string]time.Time
 	// every is the share of the answers that name the limit: one in every.
 	every, answers int
+	work           time.Duration
 }
 
 type limitedArrival struct {
@@ -39,7 +43,7 @@
 }
 
 func newLimitedUpstream() *limitedUpstream {
-	return &limitedUpstream{told: make(map[string]time.Time), every: 1}
+	return &limitedUpstream{told: make(map[string]time.Time), every: 1, work: 20 * time.Millisecond}
 }
 
 // name sets the limit that the answers name from now on, none if it is negative.
@@ -55,7 +59,6 @@
 // serve is the handler of the upstream. The id of a request begins with the name of the
 // node where it began.
 func (u *limitedUpstream) serve(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
-	time.Sleep(20 * time.Millisecond)
 	origin, _, _ := strings.Cut(r.Header.Get("X-Id"), "-")
 	u.mu.Lock()
 	told, heard := u.told[origin]
@@ -66,6 +69,7 @@
 		w.Header().Set("X-Limit", strconv.FormatFloat(u.limit, 'f', -1, 64))
 	}
 	u.mu.Unlock()
+	time.Sleep(u.work)
 	echo(w, r, call)
 }
 
@@ -146,7 +150,7 @@
 	for i := range upstreams {
 		judge := newLimitedUpstream()
 		l.judges = append(l.judges, judge)
-		n := f.addRouted(fmt.Sprintf("desk%d", i), "desk", 40, judge.serve)
+		n := f.addRouted(fmt.Sprintf("desk%d", i), "desk", 40, judge.serve, fixedPorts)
 		a := n.upstream.Load().Announcement
 		a.Instance, a.Sequence = fmt.Sprintf("i-%d", i), 1
 		f.c.Assert(n.Announce(a), qt.IsNil)
@@ -158,6 +162,28 @@
 	return l
 }
 
+// fixedPorts lets a restarted node have the addresses of the one before.
+func fixedPorts(s *Settings) { s.Gossip, s.Peer, s.Outbound = "x:7001", "x:7002", "x:7003" }
+
+// restartBesideUpstream kills the node beside an upstream that keeps running, and starts it
+// again at the same addresses.
+func (l *limitedFleet) restartBesideUpstream(i int) {
+	name := fmt.Sprintf("desk%d", i)
+	old := l.nodes[name]
+	a := old.upstream.Load().Announcement
+	old.Close()
+	settings := old.settings
+	settings.Peers = l.peers
+	n, err := New(settings)
+	l.c.Assert(err, qt.IsNil)
+	l.c.Assert(n.Start(l.t.Context()), qt.IsNil)
+	l.nodes[name] = n
+	set, err := config.Parse([]byte(routedSet), config.YAML)
+	l.c.Assert(err, qt.IsNil)
+	l.c.Assert(n.OfferConfig(set), qt.IsNil)
+	l.c.Assert(n.Announce(a), qt.IsNil)
+}
+
 // send lets the callers of each node send requests of one path at a steady rate.
 func (l *limitedFleet) send(path string, perSecond int, during time.Duration) {
 	for name := range l.callers {
@@ -206,3 +232,196 @@
 		f.c.Check(judge.mostInWindow() <= allowed(20), qt.IsTrue, qt.Commentf("%d requests in a window, allowed %d", judge.mostInWindow(), allowed(20)))
 	})
 }
+
+// Guards against the requests of a restarted node: it knows nothing of its upstream's limit,
+// while the nodes that send to it do.
+func TestLimitOfAnUpstreamOutlivesARestartOfItsNode(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		l := newLimitedFleet(f, 1, "a", "b", "c")
+		judge := l.judges[0]
+		// Responses come late, so that those to calls do not tell the limit in time.
+		judge.work = 400 * time.Millisecond
+		l.send("/browse/x", 60, 14*time.Second)
+		time.Sleep(2 * time.Second)
+		judge.name(20)
+		for range 3 {
+			time.Sleep(3500 * time.Millisecond)
+			l.restartBesideUpstream(0)
+		}
+		l.sending.Wait()
+		f.c.Check(judge.mostInWindow() <= allowed(20), qt.IsTrue, qt.Commentf("%d requests in a window, allowed %d", judge.mostInWindow(), allowed(20)))
+		f.c.Check(l.served["/browse/x"] > 100, qt.IsTrue, qt.Commentf("%d served", l.served["/browse/x"]))
+	})
+}
+
+// Guards against a limit that is dropped at the first response without it, and against one
+// that never ends.
+func TestLimitNamedInSomeResponsesHoldsAndEnds(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		l := newLimitedFleet(f, 1, "a", "b")
+		judge := l.judges[0]
+		judge.every = 2
+		l.send("/browse/x", 60, 16*time.Second)
+		time.Sleep(2 * time.Second)
+		judge.name(20)
+		time.Sleep(8 * time.Second)
+		f.c.Check(judge.mostInWindow() <= allowed(20), qt.IsTrue, qt.Commentf("%d requests in a window, allowed %d", judge.mostInWindow(), allowed(20)))
+		judge.name(-1)
+		time.Sleep(3 * time.Second)
+		before := time.Now()
+		time.Sleep(2 * time.Second)
+		f.c.Check(judge.between(before, time.Now()) > 180, qt.IsTrue, qt.Commentf("%d requests in 2 s", judge.between(before, time.Now())))
+		l.sending.Wait()
+	})
+}
+
+// Guards against a limit of 0 that ends all requests, so that no response tells of its end.
+func TestLimitOfZeroStillLearnsOfItsEnd(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		l := newLimitedFleet(f, 1, "a", "b")
+		judge := l.judges[0]
+		l.send("/browse/x", 40, 30*time.Second)
+		time.Sleep(2 * time.Second)
+		judge.name(0)
+		time.Sleep(10 * time.Second)
+		f.c.Check(judge.mostInWindow() <= allowed(0), qt.IsTrue, qt.Commentf("%d requests in a window, allowed %d", judge.mostInWindow(), allowed(0)))
+		judge.name(-1)
+		time.Sleep(12 * time.Second)
+		before := time.Now()
+		time.Sleep(2 * time.Second)
+		f.c.Check(judge.between(before, time.Now()) > 120, qt.IsTrue, qt.Commentf("%d requests in 2 s", judge.between(before, time.Now())))
+		l.sending.Wait()
+	})
+}
+
+// Guards against requests that fail at a limited upstream while others of the service have
+// room, and against a limited one that gets nothing.
+func TestOtherUpstreamsTakeWhatIsOverALimit(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		l := newLimitedFleet(f, 3, "a", "b", "c")
+		l.send("/browse/x", 50, 16*time.Second)
+		time.Sleep(2 * time.Second)
+		l.judges[0].name(20)
+		l.judges[1].name(15)
+		time.Sleep(4 * time.Second)
+		before := time.Now()
+		time.Sleep(8 * time.Second)
+		f.c.Check(l.judges[0].between(before, time.Now()) > 8*10, qt.IsTrue, qt.Commentf("%d requests", l.judges[0].between(before, time.Now())))
+		l.sending.Wait()
+		for i, limit := range []float64{20, 15} {
+			f.c.Check(l.judges[i].mostInWindow() <= allowed(limit), qt.IsTrue, qt.Commentf("%d requests in a window", l.judges[i].mostInWindow()))
+		}
+		f.c.Check(l.refused["/browse/x"]*50 <= l.served["/browse/x"], qt.IsTrue, qt.Commentf("%d refused, %d served", l.refused["/browse/x"], l.served["/browse/x"]))
+	})
+}
+
+// Guards against unimportant requests that take the places of important ones when all
+// upstreams of a service name limits.
+func TestImportantRequestsKeepTheirPlacesUnderLimits(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		l := newLimitedFleet(f, 2, "a", "b", "c")
+		for _, judge := range l.judges {
+			judge.name(20)
+		}
+		l.send("/browse/x", 40, 14*time.Second)
+		l.send("/file/x", 8, 14*time.Second)
+		l.sending.Wait()
+		for _, judge := range l.judges {
+			f.c.Check(judge.mostInWindow() <= allowed(20), qt.IsTrue, qt.Commentf("%d requests in a window", judge.mostInWindow()))
+		}
+		filed := float64(l.served["/file/x"]) / float64(l.served["/file/x"]+l.refused["/file/x"])
+		f.c.Check(filed > 0.9, qt.IsTrue, qt.Commentf("%d filed, %d refused", l.served["/file/x"], l.refused["/file/x"]))
+		f.c.Check(l.served["/browse/x"] > 50, qt.IsTrue, qt.Commentf("%d read", l.served["/browse/x"]))
+	})
+}
+
+// Guards against a limit that is taken from a late response of an earlier incarnation, or
+// stays when another incarnation takes the place.
+func TestLimitEndsWithItsIncarnation(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("desk0", "desk", 40, echo)
+		a := n.upstream.Load().Announcement
+		a.Instance, a.Sequence = "i-1", 1
+		f.c.Assert(n.Announce(a), qt.IsNil)
+		first := n.upstream.Load()
+		limit := UpstreamAnswer{Notice: call.UpstreamNotice{Limit: 3, Limited: true}}
+		n.recordNotice(first, limit)
+		f.c.Check(n.namedLimit(), qt.Equals, 3.0)
+		a.Instance = "i-2"
+		f.c.Assert(n.Announce(a), qt.IsNil)
+		f.c.Check(n.namedLimit(), qt.Equals, 0.0)
+		limit.Notice.Limit = 2
+		n.recordNotice(first, limit)
+		n.adoptNotice(n.upstream.Load(), call.UpstreamNotice{Instance: "i-1", Limit: 3, Limited: true})
+		f.c.Check(n.namedLimit(), qt.Equals, 0.0)
+		start := time.Now()
+		for range 30 {
+			f.c.Check(f.askRouted(n, "/browse/x", "i").status, qt.Equals, http.StatusOK)
+		}
+		f.c.Check(time.Since(start) < time.Second, qt.IsTrue, qt.Commentf("30 requests took %v", time.Since(start)))
+	})
+}
+
+func TestLimitStateFollowsTheResponses(t *testing.T) {
+	type step struct {
+		after  time.Duration
+		limit  float64
+		named  bool
+		heard  bool // the limit comes from another node
+		change bool
+		want   float64
+	}
+	for name, steps := range map[string][]step{
+		"ends after several responses without it": {
+			{limit: 5, named: true, change: true, want: 5}, {after: limitEndTime, want: 5}, {want: 5}, {change: true},
+		},
+		"does not end while responses name it": {
+			{limit: 5, named: true, change: true, want: 5}, {after: limitEndTime, want: 5}, {want: 5}, {limit: 5, named: true, want: 5}, {after: limitEndTime, want: 5}, {want: 5},
+		},
+		"does not end within a moment": {
+			{limit: 5, named: true, change: true, want: 5}, {want: 5}, {want: 5}, {want: 5}, {want: 5},
+		},
+		"changes": {{limit: 5, named: true, change: true, want: 5}, {limit: 4, named: true, change: true, want: 4}},
+		"is adopted before the first response": {
+			{limit: 5, heard: true, change: true, want: 5}, {limit: 6, named: true, change: true, want: 6}, {limit: 5, heard: true, want: 6},
+		},
+		"is not adopted after a response without it": {{}, {limit: 5, heard: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var s limitState
+			now := time.Unix(1000, 0)
+			for i, one := range steps {
+				now = now.Add(one.after)
+				var changed bool
+				if one.heard {
+					changed = s.adopt(one.limit, now)
+				} else {
+					changed = s.observe(one.limit, one.named, now)
+				}
+				c.Check(changed, qt.Equals, one.change, qt.Commentf("step %d", i))
+				c.Check(s.limit, qt.Equals, one.want, qt.Commentf("step %d", i))
+			}
+		})
+	}
+}
+
+// Guards against a refusal that clears what the upstream stated, and against notices that
+// are remembered for ever.
+func TestHeardNoticesEndWithTheUpstreamsOwnResponses(t *testing.T) {
+	c := qt.New(t)
+	h := newHeardNotices()
+	now := time.Unix(1000, 0)
+	limited := call.UpstreamNotice{Instance: "i-1", Limit: 5, Limited: true}
+	h.record("one", call.Report{Outcome: call.Complete, Upstream: limited}, now)
+	c.Check(h.forCall("one", now), qt.Equals, limited)
+	c.Check(h.forCall("two", now), qt.Equals, call.UpstreamNotice{})
+	h.record("one", call.Report{Outcome: call.NotRun}, now)
+	h.record("one", call.Report{Outcome: call.Unknown}, now)
+	c.Check(h.forCall("one", now), qt.Equals, limited)
+	h.record("one", call.Report{Outcome: call.Complete}, now)
+	c.Check(h.forCall("one", now), qt.Equals, call.UpstreamNotice{})
+	h.record("one", call.Report{Outcome: call.Complete, Upstream: limited}, now)
+	c.Check(h.forCall("one", now.Add(heardNoticeTTL+1)), qt.Equals, call.UpstreamNotice{})
+	c.Check(h.known.Load(), qt.Equals, int64(0))
+}
--- a/node/upstreamnotice.go
+++ b/node/upstreamnotice.go
@@ -5,70 +5,135 @@
 	"sync/atomic"
 	"time"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
 )
 
-// UpstreamNotice is what the upstream states about itself in a response.
-type UpstreamNotice struct {
-	// Limit is how many requests a second the upstream takes from all nodes together.
-	// It is valid only if Limited is set.
-	Limit   float64
-	Limited bool
-	// Leaving is set if the upstream is about to stop.
-	Leaving bool
-}
-
-// noticeState is what one incarnation of the upstream has stated about itself.
+// noticeState is what one incarnation of the upstream on this VM has stated about itself.
 type noticeState struct {
-	// limited is set while the incarnation names a limit.
-	limited atomic.Bool
+	// heard is set once a response of the incarnation was read, and stated once the
+	// incarnation has stated anything. In between, calls take no lock.
+	heard, stated atomic.Bool
 
-	mu      sync.Mutex
-	limit   float64
-	leaving bool
+	mu       sync.Mutex
+	instance string
+	limit    limitState
+	leaving  bool
 	// sent counts the requests sent while a limit is named.
-	sent         slidingCount
-	overrunUntil time.Time
+	sent           slidingCount
+	nextOverrunLog time.Time
 }
 
 // malformedNotice is the label of responses with a notice that can't be read.
 const malformedNotice = "upstream-notice"
 
-// recordNotice records what a response states about the upstream that sent it.
+// recordNotice records what a response states about the upstream that sent it. It runs
+// before the response is passed on.
 func (n *Node) recordNotice(up *upstream, a UpstreamAnswer) {
 	if a.MalformedNotice {
 		n.metrics.Malformed.With(malformedNotice).Inc(1)
-		return
 	}
 	s := &up.incarnation.notices
-	if !a.Notice.Limited && !a.Notice.Leaving && !s.limited.Load() {
+	if a.MalformedNotice && !a.Notice.Limited {
+		// The upstream names a limit that can't be read, so an earlier one stays.
 		return
 	}
+	limitChanged, leaves := s.record(up.Instance, a.Notice, n.now())
+	if leaves {
+		n.log.Emit(observe.UpstreamLeaving, observe.Str("instance", up.Instance))
+	}
+	if limitChanged {
+		n.applyLimit(up)
+	}
+}
+
+// record records the notice of a response. It reports whether the limit changes, and
+// whether the incarnation states for the first time that it is about to stop.
+func (s *noticeState) record(instance string, notice call.UpstreamNotice, now time.Time) (limitChanged, leaves bool) {
+	if notice == (call.UpstreamNotice{}) && s.heard.Load() && !s.stated.Load() {
+		return false, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.Notice.Leaving && !s.leaving {
-		s.leaving = true
-		n.log.Emit(observe.UpstreamLeaving, observe.Str("instance", up.Instance))
+	s.heard.Store(true)
+	s.instance = instance
+	limitChanged = s.limit.observe(notice.Limit, notice.Limited, now)
+	leaves = notice.Leaving && !s.leaving
+	s.leaving = s.leaving || notice.Leaving
+	if notice != (call.UpstreamNotice{}) {
+		s.stated.Store(true)
 	}
-	if a.Notice.Limited && (!s.limited.Load() || s.limit != a.Notice.Limit) {
-		s.limit = a.Notice.Limit
-		n.log.Emit(observe.UpstreamLimited, observe.Str("instance", up.Instance), observe.Float("limit", s.limit))
+	return limitChanged, leaves
+}
+
+// adoptNotice records what another node has heard of the upstream here. A node that was
+// restarted knows nothing of its upstream, and without this would send it as many requests
+// as it has slots for until the first response.
+func (n *Node) adoptNotice(up *upstream, heard call.UpstreamNotice) {
+	if !heard.Limited || heard.Instance != up.Instance {
+		return
+	}
+	s := &up.incarnation.notices
+	s.mu.Lock()
+	s.instance = up.Instance
+	changed := s.limit.adopt(heard.Limit, n.now())
+	if changed {
+		s.stated.Store(true)
+	}
+	s.mu.Unlock()
+	if changed {
+		n.applyLimit(up)
+	}
+}
+
+// applyLimit puts the limit that the upstream names in force at the gate. A response of an
+// earlier incarnation has no effect.
+func (n *Node) applyLimit(up *upstream) {
+	n.announceMu.Lock()
+	defer n.announceMu.Unlock()
+	if current := n.upstream.Load(); current == nil || current.incarnation != up.incarnation {
+		return
 	}
-	if s.limited.Swap(a.Notice.Limited) && !a.Notice.Limited {
+	limit, limited := up.incarnation.notices.limitInForce()
+	if !limited {
+		n.gate.ClearRate()
 		n.log.Emit(observe.UpstreamFreed, observe.Str("instance", up.Instance))
+		return
+	}
+	n.gate.SetRate(limit)
+	n.log.Emit(observe.UpstreamLimited, observe.Str("instance", up.Instance), observe.Float("limit", limit))
+}
+
+func (s *noticeState) limitInForce() (limit float64, limited bool) {
+	if !s.stated.Load() {
+		return 0, false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.limit, s.limit.limited
+}
+
+// notice returns what the incarnation states now, for the node where a request began.
+func (s *noticeState) notice() call.UpstreamNotice {
+	if !s.stated.Load() {
+		return call.UpstreamNotice{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limit.limited {
+		return call.UpstreamNotice{}
+	}
+	return call.UpstreamNotice{Instance: s.instance, Limit: s.limit.limit, Limited: true}
 }
 
 // namedLimit returns the limit that the upstream names, 0 if it names none.
 func (n *Node) namedLimit() float64 {
 	up := n.upstream.Load()
-	if up == nil || !up.incarnation.notices.limited.Load() {
+	if up == nil {
 		return 0
 	}
-	s := &up.incarnation.notices
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.limit
+	limit, _ := up.incarnation.notices.limitInForce()
+	return limit
 }
 
 const (
@@ -84,18 +149,21 @@
 // the limit is exceeded.
 func (n *Node) countSent(up *upstream) {
 	s := &up.incarnation.notices
-	if !s.limited.Load() {
+	if !s.stated.Load() {
 		return
 	}
 	now := n.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.limit.limited {
+		return
+	}
 	sent := s.sent.add(now)
-	allowed := limitTolerance*s.limit*slidingCountTime.Seconds() + limitSlack
-	if float64(sent) <= allowed || now.Before(s.overrunUntil) {
+	allowed := limitTolerance*s.limit.limit*slidingCountTime.Seconds() + limitSlack
+	if float64(sent) <= allowed || now.Before(s.nextOverrunLog) {
 		return
 	}
-	s.overrunUntil = now.Add(overrunLogPause)
+	s.nextOverrunLog = now.Add(overrunLogPause)
 	n.log.Emit(observe.UpstreamOverrun, observe.Str("instance", up.Instance),
-		observe.Float("limit", s.limit), observe.Int("sent", sent), observe.Float("allowed", allowed))
+		observe.Float("limit", s.limit.limit), observe.Int("sent", sent), observe.Float("allowed", allowed))
 }
--- a/observe/advice.go
+++ b/observe/advice.go
@@ -12,6 +12,7 @@
 var adviceTable = []Advice{
 	{call.ReasonQueueFull, "the queue held only work of a higher level", "Add capacity to this service, or raise the profile's priority if it must survive before others."},
 	{call.ReasonQueueWait, "no place came free in the time that it may wait in the queue, or none was to be expected", "Add capacity to this service. Repeatable calls are given a tenth of a second at most, whatever their maxWait; a higher priority goes ahead in the queue."},
+	{call.ReasonUpstreamLimit, "the upstream takes only so many calls a second from all nodes together, and the call's turn would have come too late", "Find out why the upstream names a limit (event 4031); the gauge pollengauge_upstream_reported tells which. Other upstreams of the service take the rest as far as they can."},
 	{call.ReasonDeadline, "what was left of its deadline was shorter than the service takes", "Give the profile a longer deadline, or find the hop above that used it up."},
 	{call.ReasonLevel, "its level was below the admission level in force", "Add capacity to this service, or raise the profile's priority if it must survive before others."},
 	{call.ReasonLevelBelow, "a deeper hop would have refused it, so it was refused before any work was done", "Add capacity to the service that sheds, or raise the profile's priority if it must survive before others; top shows the levels in force now."},
--- a/observe/metric.go
+++ b/observe/metric.go
@@ -32,7 +32,7 @@
 	// value "other", so that names sent by a faulty peer can't fill the memory of
 	// the node. The bound is large enough for all outcomes and reasons of all
 	// profiles with their own metrics (maxProfiles).
-	MaxSeries = 8192
+	MaxSeries = 16384
 	other     = "other"
 )
 
--- a/observe/shedders.go
+++ b/observe/shedders.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	switch h.Reason {
-	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonDeadline:
+	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamLimit, call.ReasonDeadline:
 		return true
 	}
 	return false
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -194,7 +194,7 @@
 // reason ended before an upstream received it.
 func BeforeUpstream(r call.Reason) bool {
 	switch r {
-	case call.ReasonConnect, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonLevel,
+	case call.ReasonConnect, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamLimit, call.ReasonLevel,
 		call.ReasonDraining, call.ReasonNoUpstream, call.ReasonBusy, call.ReasonPeerFull, call.ReasonNoConfig:
 		return true
 	}
@@ -219,7 +219,7 @@
 // control.
 func isOverloadRefusal(r call.Reason) bool {
 	switch r {
-	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamShed, call.ReasonBusy, call.ReasonPeerFull:
+	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamLimit, call.ReasonUpstreamShed, call.ReasonBusy, call.ReasonPeerFull:
 		return true
 	}
 	return false
--- a/routing/target.go
+++ b/routing/target.go
@@ -73,7 +73,7 @@
 			return verdictNeutral
 		}
 		return verdictFailed
-	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamShed, call.ReasonUpstreamRefused, call.ReasonBusy, call.ReasonPeerFull:
+	case call.ReasonLevel, call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamLimit, call.ReasonUpstreamShed, call.ReasonUpstreamRefused, call.ReasonBusy, call.ReasonPeerFull:
 		if f.Downstream {
 			return verdictNeutral
 		}
