--- a/cmd/pollengauge/soak/fleet_test.go
+++ b/cmd/pollengauge/soak/fleet_test.go
@@ -100,6 +100,7 @@
 		u.calls = []plannedCall{{pathLook, 2}}
 	}
 	u.odds.Store(&odds{})
+	u.stated.Store(&stated{})
 	u.work.Store(int64(usualWork))
 	return u
 }
--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -61,6 +61,8 @@
 	}
 	if t.timed {
 		j.drainingUpstreamsGetNothing()
+		j.leavingUpstreamsGetNothing()
+		j.statedLimitsHold()
 		j.retriesAreBounded()
 		j.limitsHold()
 		j.answersComeInTime()
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -43,6 +43,8 @@
 	manyUploads     fault = "many-uploads"
 	otherWriter     fault = "other-writer"
 	fatalRequest    fault = "fatal-request"
+	limitUpstream   fault = "limit-upstream"
+	leaveByAnswer   fault = "leave-by-answer"
 	// growConfig is not in the list of drawn faults: each plan has the same number
 	// of growths.
 	growConfig fault = "grow"
@@ -52,12 +54,12 @@
 	killNode, termNode, pauseNode, reloadNode, rewriteSettings, crashUpstream, replaceUpstream, slowUpstream,
 	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
 	storeLoses, storeForgets, storePaused, changeConfig, killAll,
-	restartUpstream, manyUploads, otherWriter, fatalRequest,
+	restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer,
 }
 
 // inEveryPlan are faults that each plan contains at least once, so that their checkers
 // always have something to judge.
-var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest}
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer}
 
 // step is one fault of a plan.
 type step struct {
@@ -216,6 +218,10 @@
 		f.check(u.start())
 	case replaceUpstream:
 		u.replace(ctx, f.terms.drain)
+	case limitUpstream:
+		u.nameLimit(ctx)
+	case leaveByAnswer:
+		u.leave(ctx, f.terms.drain)
 	case restartUpstream:
 		f.check(u.restart(ctx, s.lasts))
 	case manyUploads:
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -84,6 +84,12 @@
 		{"request after the drain's bound", "drain", func(r *record) {
 			r.drainNotices = []drainNotice{{instance: "i-1", vm: 1, at: at.Add(-5 * time.Second)}}
 		}},
+		{"request after the drain's bound to an upstream that stated its departure", "leaving", func(r *record) { depart(r, at) }},
+		{"the same, with its store cut off", "leaving", func(r *record) {
+			depart(r, at)
+			r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at, fault: cutStore}}
+		}},
+		{"more than a stated limit", "stated-limit", func(r *record) { exceed(r, at, 120) }},
 		{"retry storm", "retries", func(r *record) {
 			r.sent[0].unsafe = false
 			for range 20 {
@@ -243,3 +249,22 @@
 	move(r, at)
 	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
 }
+
+// depart plants a request that reaches an upstream long after its VM passed on that the
+// upstream leaves.
+func depart(r *record, at time.Time) {
+	r.sent[0].vm, r.answers[0].at = 1, at.Add(-5*time.Second)
+	r.runs[0].stated.leaving = true
+}
+
+// exceed plants requests to an upstream that names a limit of 10 a second.
+func exceed(r *record, at time.Time, count int) {
+	for i := range count {
+		id := "e" + strconv.Itoa(i)
+		r.sent = append(r.sent, sent{id: id, vm: 1, path: "/file/x", method: "POST", body: "b", origin: "web"})
+		x := r.runs[0]
+		x.id, x.at, x.signature, x.stated = id, at.Add(time.Duration(i)*50*time.Millisecond), id, stated{limit: 10}
+		r.runs = append(r.runs, x)
+		r.answers = append(r.answers, answered{id: id, vm: 1, at: x.at, took: time.Millisecond, status: 200, signature: id, body: "yes", complete: true})
+	}
+}
--- a/cmd/pollengauge/soak/record_test.go
+++ b/cmd/pollengauge/soak/record_test.go
@@ -51,6 +51,8 @@
 	status    int
 	signature string
 	answer    string
+	// stated is what the upstream states in its response.
+	stated stated
 }
 
 // answered is the response to a request, or the failure to get one.
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -51,9 +51,10 @@
 	calls             []plannedCall
 	client            *http.Client
 
-	odds  atomic.Pointer[odds]
-	work  atomic.Int64
-	count atomic.Uint64
+	odds   atomic.Pointer[odds]
+	stated atomic.Pointer[stated]
+	work   atomic.Int64
+	count  atomic.Uint64
 
 	mu       sync.Mutex
 	instance string
@@ -158,10 +159,12 @@
 		tenant: r.Header.Get(headerTenant), keyed: len(r.Header[headerKey]) > 0,
 	}
 	w.Header().Set(headerInstance, i.instance)
+	x.stated = i.statement()
 	if expected := r.Header.Get(headerExpected); expected != "" && expected != i.instance {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	x.stated.write(w.Header())
 	ctx, cancel := context.WithTimeout(r.Context(), timeoutOf(r.Header))
 	defer cancel()
 	misbehaves := i.odds.Load()
