--- a/node/configsync.go
+++ b/node/configsync.go
@@ -181,6 +181,7 @@
 		Store:   n.store,
 		Kind:    kind,
 		Handle:  func(e objects.Event) { n.applyConfigObject(e.Object) },
+		OnError: func(err error) { n.log.Emit(observe.PlatformWatchFailed, observe.Str("kind", kind), observe.Err(err)) },
 		Backoff: objects.Backoff{Max: config.DefaultFollowBackoff},
 	}
 	n.done.Go(func() { watcher.Run(ctx) })
--- a/node/observedstore.go
+++ b/node/observedstore.go
@@ -21,11 +21,27 @@
 	metrics *observe.Metrics
 	log     *observe.Logger
 	down    atomic.Bool
+	// era is the latest era that was logged.
+	era atomic.Uint64
+}
+
+// Era implements objects.EraReporter.
+func (s *observedStore) Era() uint64 { return objects.EraOf(s.Store) }
+
+// noteEra logs that the store has been restored since the previous call.
+func (s *observedStore) noteEra() {
+	era := s.Era()
+	before := s.era.Load()
+	if era <= before || !s.era.CompareAndSwap(before, era) || before == 0 {
+		return
+	}
+	s.log.Emit(observe.PlatformRestored, observe.Int64("era", int64(era)), observe.Int64("before", int64(before)))
 }
 
 // note counts one call and logs changes of the platform's health.
 func (s *observedStore) note(op objects.Op, start time.Time, err error) {
 	took := time.Since(start)
+	s.noteEra()
 	s.metrics.PlatformCalls.With(string(op), platformResult(err)).Inc(1)
 	if op != objects.OpWatch {
 		s.metrics.PlatformTime.With(string(op)).Observe(took)
--- a/objects/client.go
+++ b/objects/client.go
@@ -20,11 +20,13 @@
 	reads    *budget
 	writes   *budget
 	counters counters
+	era      eraTracker
 }
 
 var (
 	_ Store         = (*Client)(nil)
 	_ RelaxedReader = (*Client)(nil)
+	_ EraReporter   = (*Client)(nil)
 )
 
 // NewClient returns a client. It makes no call, so it also succeeds while the
@@ -50,6 +52,9 @@
 // Stats returns a snapshot of the counters.
 func (c *Client) Stats() Stats { return c.counters.snapshot() }
 
+// Era implements EraReporter.
+func (c *Client) Era() uint64 { return c.era.highest.Load() }
+
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	return c.get(ctx, Query{Op: OpGet, Kind: kind, Name: name})
--- a/objects/exchange.go
+++ b/objects/exchange.go
@@ -62,6 +62,7 @@
 	if err != nil {
 		return Answer{}, Reply{}, err
 	}
+	c.era.observe(c.options.Wire.Era(a))
 	r, err := c.options.Wire.Decode(q, a)
 	return a, r, err
 }
@@ -128,7 +129,7 @@
 	if int64(len(body)) > c.options.MaxAnswer {
 		return Answer{}, &TooLargeError{What: "answer", Size: max(resp.ContentLength, 0), Limit: c.options.MaxAnswer}
 	}
-	return Answer{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Body: body}, nil
+	return Answer{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Header: resp.Header, Body: body}, nil
 }
 
 // spend takes one call from the budget for op, or returns a *RateError with the
--- a/objects/progress_test.go
+++ b/objects/progress_test.go
@@ -57,6 +57,9 @@
 	return Reply{Objects: []Object{{Kind: "k", Name: "n", Version: 1, Revision: 1, Value: a.Body}}}, nil
 }
 
+// Era implements Wire.
+func (acceptingWire) Era(Answer) uint64 { return 0 }
+
 // A large object on a slow link to the platform: the response takes three times
 // the timeout of a call but never stalls. If it were cut off, the client would
 // request it again forever. A response that stalls, or that would trickle in
--- a/objects/wire.go
+++ b/objects/wire.go
@@ -1,6 +1,7 @@
 package objects
 
 import (
+	"net/http"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	// returns one of this package's errors. Each of them except *ProtocolError
 	// guarantees that a write changed nothing.
 	Decode(q Query, a Answer) (Reply, error)
+	// Era returns the era of the store that a response states, 0 if it states none that
+	// can be read. Successes and failures state it.
+	Era(a Answer) uint64
 }
 
 // Query is one call of the object API.
@@ -54,6 +58,7 @@
 	Status int
 	// RetryAfter is the unparsed value of the Retry-After header.
 	RetryAfter string
+	Header     http.Header
 	Body       []byte
 }
 
--- a/observe/events.go
+++ b/observe/events.go
@@ -98,11 +98,13 @@
 
 // Platform.
 var (
-	PlatformDown       = defineEvent(6001, "platform-down", Error, "Calls to the platform fail; the node runs on what it knows.", "Check the platform. Keys brought by callers can't be claimed until it is back.")
-	PlatformUp         = defineEvent(6002, "platform-up", Info, "The platform answers again.", noAction)
-	PlatformSlow       = defineEvent(6003, "platform-slow", Warn, "The platform answers much more slowly than usual.", "Check the platform.")
-	PlatformOverBudget = defineEvent(6004, "platform-over-budget", Warn, "A call to the platform was held back because this node's share is spent.", "Find out what causes the calls; see platform calls by operation.")
-	PlatformAmbiguous  = defineEvent(6005, "platform-write-ambiguous", Warn, "A write may have taken effect although its answer was lost.", "None: it is settled by reading back.")
+	PlatformDown        = defineEvent(6001, "platform-down", Error, "Calls to the platform fail; the node runs on what it knows.", "Check the platform. Keys brought by callers can't be claimed until it is back.")
+	PlatformUp          = defineEvent(6002, "platform-up", Info, "The platform answers again.", noAction)
+	PlatformSlow        = defineEvent(6003, "platform-slow", Warn, "The platform answers much more slowly than usual.", "Check the platform.")
+	PlatformOverBudget  = defineEvent(6004, "platform-over-budget", Warn, "A call to the platform was held back because this node's share is spent.", "Find out what causes the calls; see platform calls by operation.")
+	PlatformRestored    = defineEvent(6006, "platform-restored", Warn, "The platform's store was restored from a copy: its era has risen, and the writes of some seconds before are gone, also acknowledged ones. The line gives both eras.", "See that the operators' last changes are stored again; nodes store again what is theirs.")
+	PlatformWatchFailed = defineEvent(6007, "platform-watch-failed", Warn, "A watch of the platform, or the list that a watch continues from, failed and is repeated. The line gives the kind and the error.", "None during an outage; otherwise compare with the platform's log. If it repeats, changes reach this node only through other members.")
+	PlatformAmbiguous   = defineEvent(6005, "platform-write-ambiguous", Warn, "A write may have taken effect although its answer was lost.", "None: it is settled by reading back.")
 )
 
 // Edges and hostile input.
