--- a/standin/events.go
+++ b/standin/events.go
@@ -57,11 +57,11 @@
 
 // eventsSince returns the events of a kind after the revision from, the revision
 // from which the next watch starts, and a channel that is closed when there may be
-// more events.
-func (m *Memory) eventsSince(kind string, from uint64) (events []objects.Event, next uint64, changed <-chan struct{}, err error) {
+// more events. A watch that began in an earlier era is cut off.
+func (m *Memory) eventsSince(kind string, from, era uint64) (events []objects.Event, next uint64, changed <-chan struct{}, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.faults.Down {
+	if m.faults.Down || era != m.era {
 		return nil, from, nil, unavailable(objects.OpWatch, http.StatusServiceUnavailable)
 	}
 	// A revision that this store has not reached yet belongs to the history of
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -33,6 +33,8 @@
 	StaleMillis int `json:"stale_ms,omitempty"`
 	// Compact deletes all retained events, once.
 	Compact bool `json:"compact,omitempty"`
+	// RestoreMillis restores the store, once, from a copy that is this old.
+	RestoreMillis int `json:"restore_ms,omitempty"`
 }
 
 // writeOutcome is the injected outcome of a write and its response.
--- a/standin/memory.go
+++ b/standin/memory.go
@@ -98,8 +98,9 @@
 	// already when it is created; applyAt gives the reason.
 	timer := time.NewTimer(max(wait, 1))
 	defer timer.Stop()
+	era := m.Era()
 	for {
-		events, next, changed, err := m.eventsSince(kind, from)
+		events, next, changed, err := m.eventsSince(kind, from, era)
 		if err != nil || len(events) > 0 {
 			return events, next, err
 		}
--- a/standin/relaxed.go
+++ b/standin/relaxed.go
@@ -20,11 +20,13 @@
 	object objects.Object
 	// existed is false if the change created the object.
 	existed bool
+	// revision is the store's revision after the change.
+	revision uint64
 }
 
 // rememberReplaced records the state that a change replaces. The caller holds mu.
 func (m *Memory) rememberReplaced(o objects.Object, existed bool) {
-	m.replaced = append(m.replaced, replaced{until: time.Now(), object: o, existed: existed})
+	m.replaced = append(m.replaced, replaced{until: time.Now(), object: o, existed: existed, revision: m.revision})
 	if extra := len(m.replaced) - maxReplaced; extra > 0 {
 		m.replaced = slices.Delete(m.replaced, 0, extra)
 	}
--- a/standin/server.go
+++ b/standin/server.go
@@ -77,7 +77,21 @@
 func (s *Server) Close() error { return s.http.Close() }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(&eraWriter{ResponseWriter: w, memory: s.Memory}, r)
+}
+
+// eraWriter states the era in each response as of the time when it is sent.
+type eraWriter struct {
+	http.ResponseWriter
+	memory *Memory
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	w.Header().Set(store.HeaderEra, strconv.FormatUint(w.memory.Era(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
 
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
 	read := s.Get
--- a/standin/store.go
+++ b/standin/store.go
@@ -25,7 +25,9 @@
 	stats    Stats
 	objects  map[string]map[string]objects.Object
 	revision uint64
-	log      []delivery
+	// era counts the restores; see Restore.
+	era uint64
+	log []delivery
 	// replaced lists the states that changes replaced, in order of time.
 	replaced []replaced
 	// compactedTo is the highest position of the deliveries removed from log.
@@ -45,6 +47,7 @@
 		rand:    rand.New(rand.NewPCG(options.Seed, 0)),
 		objects: make(map[string]map[string]objects.Object),
 		changed: make(map[string]chan struct{}),
+		era:     firstEra,
 		stats:   Stats{Calls: make(map[objects.Op]uint64)},
 	}
 	m.SetFaults(Faults{})
@@ -63,6 +66,10 @@
 		m.compactedTo = m.revision
 		f.Compact = false
 	}
+	if f.RestoreMillis > 0 {
+		m.restore(milliseconds(f.RestoreMillis))
+		f.RestoreMillis = 0
+	}
 	m.faults = f
 	for kind := range m.changed {
 		m.wakeWatches(kind)
@@ -119,8 +126,8 @@
 	if stored.Version != o.Version {
 		return objects.Object{}, &objects.ConflictError{Op: op, Kind: o.Kind, Name: o.Name, Expected: o.Version, Current: clone(stored)}
 	}
-	m.rememberReplaced(objects.Object{Kind: o.Kind, Name: o.Name, Version: stored.Version, Revision: stored.Revision, Value: stored.Value}, ok)
 	m.revision++
+	m.rememberReplaced(objects.Object{Kind: o.Kind, Name: o.Name, Version: stored.Version, Revision: stored.Revision, Value: stored.Value}, ok)
 	o = clone(o)
 	// Version and revision are the same number, as on the platform. Versions
 	// therefore increase across a delete and a create without a record of the
