objects: one wrong era does not make a client reject the store

A response that states an era far too high, garbled or wrong, made each later response count as outdated: reads failed and writes were ambiguous until the process ended. After sixteen responses in a row of the same lower era, more than there are calls in flight, that era is taken. TestWrongEraIsCorrected fails without it: all 40 reads after the wrong one are rejected, now the first 16.

--- a/node/claims.go
+++ b/node/claims.go
@@ -183,7 +183,7 @@
 // Delete implements atmostonce.ClaimStore.
 func (s *claimStore) Delete(ctx context.Context, name string, version atmostonce.Version) error {
 	expected, era := objectVersion(version)
-	if era != 0 && era < objects.EraOf(s.store) {
+	if era != 0 && era != objects.EraOf(s.store) {
 		return &atmostonce.ClaimConflictError{Name: name}
 	}
 	if err := s.store.Delete(ctx, claimKind, name, expected); err != nil {
--- a/objects/client.go
+++ b/objects/client.go
@@ -53,7 +53,7 @@
 func (c *Client) Stats() Stats { return c.counters.snapshot() }
 
 // Era implements EraReporter.
-func (c *Client) Era() uint64 { return c.era.highest.Load() }
+func (c *Client) Era() uint64 { return c.era.era() }
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
@@ -158,7 +158,7 @@
 		return Object{}, err
 	}
 	q := Query{Op: OpUpdate, Kind: o.Kind, Name: o.Name, Expected: o.Version, ExpectedEra: o.Era, Value: o.Value}
-	if known := c.Era(); q.ExpectedEra != 0 && q.ExpectedEra < known {
+	if known := c.Era(); q.ExpectedEra != 0 && q.ExpectedEra != known {
 		return Object{}, c.withCurrent(ctx, &ConflictError{Op: q.Op, Kind: q.Kind, Name: q.Name, Expected: q.Expected})
 	}
 	return c.put(ctx, q)
--- a/objects/era_test.go
+++ b/objects/era_test.go
@@ -72,3 +72,28 @@
 	_, err = client.Create(background, "kind", "name", nil)
 	c.Check(err, qt.ErrorAs, new(*objects.AmbiguousError))
 }
+
+// Guards against a client that rejects the store for ever after one wrong header.
+func TestWrongEraIsCorrected(t *testing.T) {
+	c := qt.New(t)
+	era := "900000"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(store.HeaderEra, era)
+		_, _ = w.Write([]byte(`{"metadata":{"name":"name","revision":5},"specification":{}}`))
+	}))
+	defer server.Close()
+	client, err := store.New(objects.Options{Endpoint: server.URL, ReadRate: 1000, Burst: 1000})
+	c.Assert(err, qt.IsNil)
+	defer client.Close()
+	_, err = client.Get(background, "kind", "name")
+	c.Assert(err, qt.IsNil)
+	era = "3"
+	failed := 0
+	for range 40 {
+		if _, err := client.Get(background, "kind", "name"); err != nil {
+			failed++
+		}
+	}
+	c.Check(failed, qt.Equals, 16)
+	c.Check(client.Era(), qt.Equals, uint64(3))
+}
--- a/objects/errors.go
+++ b/objects/errors.go
@@ -183,7 +183,7 @@
 // EraError means that a response, or a part of it, is from before the store was restored
 // from a copy. What it states may not hold any more.
 type EraError struct {
-	// Era is the era of the response, Known the highest era known.
+	// Era is the era of the response, Known that of the store.
 	Era, Known uint64
 }
 
--- a/objects/exchange.go
+++ b/objects/exchange.go
@@ -67,7 +67,7 @@
 		return Answer{}, Reply{}, err
 	}
 	r, err := c.options.Wire.Decode(q, a)
-	if err == nil && q.ExpectedEra != 0 && q.ExpectedEra < era {
+	if err == nil && q.ExpectedEra != 0 && era != 0 && q.ExpectedEra != era {
 		// The version may have been given out again, so the write may have replaced
 		// another one than was meant.
 		return Answer{}, Reply{}, q.ambiguous(&EraError{Era: q.ExpectedEra, Known: era})
