--- a/admission/doc.go
+++ b/admission/doc.go
@@ -25,8 +25,8 @@
 // SetRate adds a limit on the calls dispatched in a second, for an upstream that names
 // one.
 //
-// All exported methods may be called concurrently. The package does no I/O and starts no
+// All exported methods may be called concurrently. The package does no I/O. It starts no
 // goroutines, except for a timer while a rate holds calls back: a measurement window is
-// closed by the first call that comes after its end. The decisions themselves are pure functions of the
-// values and times passed in.
+// closed by the first call that comes after its end. The decisions themselves are pure
+// functions of the values and times passed in.
 package admission
--- a/admission/state.go
+++ b/admission/state.go
@@ -25,8 +25,8 @@
 const loadTTL = time.Millisecond
 
 // Load returns the utilization in thousandths, queued calls included: that of
-// the limit, that of the slots or that of the rate set by SetRate, whichever is highest. The value may be a
-// millisecond old.
+// the limit, that of the slots or that of the rate set by SetRate, whichever is
+// highest. The value may be a millisecond old.
 func (g *Gate) Load() int {
 	now := int64(g.now())
 	if now < g.loadUntil.Load() {
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -103,6 +103,8 @@
 // so that a call which would wait too long is refused on arrival. With a
 // learned limit the spacing of visits is too inaccurate for this: calls were
 // refused that would have been dispatched in time.
+//
+// Under a rate, calls are dispatched no faster than that.
 func (g *Gate) expectedWait(c class, now time.Duration) time.Duration {
 	ahead := g.queue.countAhead(c, g.config.SlotShare > 0)
 	if g.rate.limited {
--- a/node/upstreamlimit_test.go
+++ b/node/upstreamlimit_test.go
@@ -432,3 +432,20 @@
 	c.Check(h.forCall("one", now.Add(heardNoticeTTL+1)), qt.Equals, call.UpstreamNotice{})
 	c.Check(h.known.Load(), qt.Equals, int64(0))
 }
+
+// Guards against a departure, or a limit in force, that is lost with a limit that can't be
+// read.
+func TestMalformedLimitChangesNothingElse(t *testing.T) {
+	c := qt.New(t)
+	var s noticeState
+	now := time.Unix(1000, 0)
+	s.record("i-1", UpstreamAnswer{Notice: call.UpstreamNotice{Limit: 5, Limited: true}}, now)
+	for range 2 * limitEndResponses {
+		now = now.Add(time.Second)
+		limitChanged, leaves := s.record("i-1", UpstreamAnswer{MalformedNotice: true}, now)
+		c.Check([]bool{limitChanged, leaves}, qt.DeepEquals, []bool{false, false})
+	}
+	_, leaves := s.record("i-1", UpstreamAnswer{Notice: call.UpstreamNotice{Leaving: true}, MalformedNotice: true}, now)
+	c.Check(leaves, qt.IsTrue)
+	c.Check(s.notice(), qt.Equals, call.UpstreamNotice{Instance: "i-1", Limit: 5, Limited: true, Leaving: true})
+}
--- a/node/upstreamnotice.go
+++ b/node/upstreamnotice.go
@@ -19,7 +19,8 @@
 	instance string
 	limit    limitState
 	leaving  bool
-	// sent counts the requests sent while a limit is named.
+	// sent counts the requests sent while a limit is named. Until nextOverrunLog no excess
+	// is logged.
 	sent           slidingCount
 	nextOverrunLog time.Time
 }
@@ -33,12 +34,7 @@
 	if a.MalformedNotice {
 		n.metrics.Malformed.With(malformedNotice).Inc(1)
 	}
-	s := &up.incarnation.notices
-	if a.MalformedNotice && !a.Notice.Limited {
-		// The upstream names a limit that can't be read, so an earlier one stays.
-		return
-	}
-	limitChanged, leaves := s.record(up.Instance, a.Notice, n.now())
+	limitChanged, leaves := up.incarnation.notices.record(up.Instance, a, n.now())
 	if leaves {
 		n.log.Emit(observe.UpstreamLeaving, observe.Str("instance", up.Instance))
 		n.Leaving(up.Instance, up.Born)
@@ -49,8 +45,10 @@
 }
 
 // record records the notice of a response. It reports whether the limit changes, and
-// whether the incarnation states for the first time that it is about to stop.
-func (s *noticeState) record(instance string, notice call.UpstreamNotice, now time.Time) (limitChanged, leaves bool) {
+// whether the incarnation states for the first time that it is about to stop. A limit that
+// can't be read changes nothing.
+func (s *noticeState) record(instance string, a UpstreamAnswer, now time.Time) (limitChanged, leaves bool) {
+	notice := a.Notice
 	if notice == (call.UpstreamNotice{}) && s.heard.Load() && !s.stated.Load() {
 		return false, false
 	}
@@ -58,7 +56,9 @@
 	defer s.mu.Unlock()
 	s.heard.Store(true)
 	s.instance = instance
-	limitChanged = s.limit.observe(notice.Limit, notice.Limited, now)
+	if notice.Limited || !a.MalformedNotice {
+		limitChanged = s.limit.observe(notice.Limit, notice.Limited, now)
+	}
 	leaves = notice.Leaving && !s.leaving
 	s.leaving = s.leaving || notice.Leaving
 	if notice != (call.UpstreamNotice{}) {
@@ -115,9 +115,18 @@
 		return
 	}
 	n.gate.SetRate(limit)
+	up.incarnation.notices.postponeOverrunLog(n.now().Add(slidingCountTime))
 	n.log.Emit(observe.UpstreamLimited, observe.Str("instance", up.Instance), observe.Float("limit", limit))
 }
 
+// postponeOverrunLog lets no excess be logged until then: requests that were sent under an
+// earlier, higher limit are no excess.
+func (s *noticeState) postponeOverrunLog(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextOverrunLog = until
+}
+
 func (s *noticeState) limitInForce() (limit float64, limited bool) {
 	if !s.stated.Load() {
 		return 0, false
@@ -160,7 +169,7 @@
 )
 
 // countSent counts a request that is sent to an upstream that names a limit, and logs if
-// the limit is exceeded.
+// the limit, unchanged for slidingCountTime, is exceeded.
 func (n *Node) countSent(up *upstream) {
 	s := &up.incarnation.notices
 	if !s.stated.Load() {
