soak: the store is restored from a copy, in every plan

The store is away for up to a second and comes back up to four seconds old; the operator and the other program write again what it has lost. A new check by the clock: a VM without a fault, with a store without one, answers on the probe route by a version that is not older than one acknowledged 2 s before (and half a second for the scheduler).

--- a/cmd/pollengauge/soak/denied_test.go
+++ b/cmd/pollengauge/soak/denied_test.go
@@ -65,7 +65,7 @@
 		if d.vm != vm && d.vm != everyVM || d.from.After(to) || d.to.Before(from) {
 			continue
 		}
-		if slices.Contains([]fault{killNode, termNode, pauseNode, killAll, storeDown, storePaused}, d.fault) {
+		if slices.Contains([]fault{killNode, termNode, pauseNode, killAll, storeDown, storePaused, restoreStore}, d.fault) {
 			return true
 		}
 		store = store || slices.Contains([]fault{cutStore, silenceLinks}, d.fault)
--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -67,6 +67,7 @@
 		j.limitsHold()
 		j.answersComeInTime()
 		j.routesAreServed()
+		j.versionsAreInForceInTime()
 		j.restartedUpstreamsWork()
 		j.fatalRequestsAreQuarantined()
 	}
--- a/cmd/pollengauge/soak/operator_test.go
+++ b/cmd/pollengauge/soak/operator_test.go
@@ -28,7 +28,9 @@
 	mu      sync.Mutex
 	number  int
 	current objects.Object
-	added   int
+	// latest is the latest acknowledged version as it was written.
+	latest []byte
+	added  int
 }
 
 // Size and number of the configuration's growths. Three growths, as JSON, come close
@@ -74,13 +76,14 @@
 	add(o.fleet.record, &o.fleet.record.versions, next)
 	if o.current.Name == "" {
 		if o.current, err = o.store.Create(ctx, configKind, configName, value); err == nil {
+			o.latest = value
 			o.acknowledge(next)
 		}
 	} else {
 		o.current.Value = value
 		var written objects.Object
 		if written, err = o.store.Update(ctx, o.current); err == nil {
-			o.current = written
+			o.current, o.latest = written, value
 			o.acknowledge(next)
 		}
 	}
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -45,6 +45,7 @@
 	fatalRequest    fault = "fatal-request"
 	limitUpstream   fault = "limit-upstream"
 	leaveByAnswer   fault = "leave-by-answer"
+	restoreStore    fault = "restore-store"
 	// growConfig is not in the list of drawn faults: each plan has the same number
 	// of growths.
 	growConfig fault = "grow"
@@ -55,11 +56,12 @@
 	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
 	storeLoses, storeForgets, storePaused, changeConfig, killAll,
 	restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer,
+	restoreStore,
 }
 
 // inEveryPlan are faults that each plan contains at least once, so that their checkers
 // always have something to judge.
-var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer}
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer, restoreStore}
 
 // step is one fault of a plan.
 type step struct {
@@ -143,7 +145,7 @@
 func (f *fleet) inject(ctx context.Context, s step) {
 	from := time.Now()
 	switch s.fault {
-	case storeDown, storeSlow, storeLoses, storeForgets, storePaused:
+	case storeDown, storeSlow, storeLoses, storeForgets, storePaused, restoreStore:
 		f.injectAtStore(ctx, s)
 		add(f.record, &f.record.disturbed, disturbed{vm: everyVM, from: from, to: time.Now().Add(afterEffect), fault: s.fault})
 	case growConfig:
@@ -175,6 +177,10 @@
 
 func (f *fleet) injectAtStore(ctx context.Context, s step) {
 	texts := map[fault]string{storeDown: `{"down":true}`, storeSlow: `{"delay_ms":400}`, storeLoses: `{"drop_probability":0.4}`, storeForgets: `{"compact":true}`}
+	if s.fault == restoreStore {
+		f.restore(ctx)
+		return
+	}
 	if s.fault == storePaused {
 		_ = f.store.Signal(syscall.SIGSTOP)
 		pause(ctx, s.lasts)
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -76,6 +76,11 @@
 			r.versions = []version{{number: 1, sentAt: at, probe: "web"}, {number: 2, sentAt: at, probe: "filing"}}
 			r.probes = []probe{{1, 1, at.Add(1), "web"}, {1, 1, at.Add(2), "filing"}, {1, 1, at.Add(3), "web"}}
 		}},
+		{"old configuration long after the acknowledgement", "in-force", func(r *record) {
+			acked := at.Add(-inForceWithin - time.Second)
+			r.versions = []version{{number: 1, sentAt: acked.Add(-time.Minute), ackedAt: acked.Add(-time.Minute), probe: "web"}, {number: 2, sentAt: acked, ackedAt: acked, probe: "filing"}}
+			r.probes = []probe{{1, 1, at, "web"}}
+		}},
 		{"version before it was sent", "version", func(r *record) {
 			r.versions = []version{{number: 1, sentAt: at.Add(time.Second), probe: "web"}}
 			r.probes = []probe{{1, 1, at, "web"}}
