experiment: upstreams that name limits and state their departure

Faults limit and leave, and a workload that has one limited upstream of three, then three, and one that leaves.

--- a/bench/experiment/play/dialect.go
+++ b/bench/experiment/play/dialect.go
@@ -20,6 +20,10 @@
 	// headerNotRun states that the upstream did not run the request.
 	headerNotRun = "X-Not-Run"
 	headerAfter  = "X-Retry-After-Ms"
+	// headerLimit and headerLeaving have what the upstream states about itself: how many
+	// requests a second it takes, and that it is about to stop.
+	headerLimit   = "X-Limit"
+	headerLeaving = "X-Leaving"
 )
 
 // idSeparator stands between the id of a request and that of a call for it.
@@ -64,13 +68,20 @@
 
 // ReadUpstream implements node.Dialect.
 func (dialect) ReadUpstream(a *http.Response, u node.UpstreamRequest) node.UpstreamAnswer {
-	switch {
-	case a.Header.Get(headerEcho) != u.ID:
+	if a.Header.Get(headerEcho) != u.ID {
 		return node.UpstreamAnswer{Outcome: call.Unknown, Reason: call.ReasonInvalidAnswer}
-	case a.Header.Get(headerNotRun) != "":
-		return node.UpstreamAnswer{Outcome: call.NotRun, Reason: call.ReasonUpstreamShed}
 	}
-	return node.UpstreamAnswer{Outcome: call.Complete}
+	answer := node.UpstreamAnswer{Outcome: call.Complete, Notice: readNotice(a.Header)}
+	if a.Header.Get(headerNotRun) != "" {
+		answer.Outcome, answer.Reason = call.NotRun, call.ReasonUpstreamShed
+	}
+	return answer
+}
+
+func readNotice(h http.Header) call.UpstreamNotice {
+	notice := call.UpstreamNotice{Leaving: h.Get(headerLeaving) != ""}
+	notice.Limit, notice.Limited = call.ParseLimit(h.Get(headerLimit))
+	return notice
 }
 
 // WriteRefusal implements node.Dialect. Callers send an unrepeatable request
--- a/bench/experiment/play/faults.go
+++ b/bench/experiment/play/faults.go
@@ -78,6 +78,10 @@
 		f.freeze(v, c.begin)
 	case workload.Crash:
 		return f.crash(ctx, v, c.begin)
+	case workload.Limit:
+		v.upstream.nameLimit(c.fault.Rate, c.begin)
+	case workload.Leave:
+		return f.replace(ctx, v, c.begin)
 	case workload.Cut:
 		f.cut(v, c.fault.With, c.begin)
 	case workload.Delay:
@@ -113,6 +117,18 @@
 	return nil
 }
 
+// replace has the upstream of a VM state that it leaves, or replaces the VM.
+func (f *fleet) replace(ctx context.Context, v *vm, begin bool) error {
+	if begin {
+		v.upstream.leave()
+		return nil
+	}
+	if err := f.crash(ctx, v, true); err != nil {
+		return err
+	}
+	return f.crash(ctx, v, false)
+}
+
 // cut breaks the connections between a VM and all of another service.
 func (f *fleet) cut(v *vm, with string, begin bool) {
 	act := f.network.Heal
--- a/bench/experiment/play/play_test.go
+++ b/bench/experiment/play/play_test.go
@@ -158,3 +158,17 @@
 		Ranks:    []RankSeries{{Rank: 3, PerSecond: []float64{2, 3, 0}}},
 	})
 }
+
+// Guards against important work that fails while upstreams name limits, and against an
+// upstream that is unused after it was replaced.
+func TestStatedLimitsAndDepartures(t *testing.T) {
+	c := qt.New(t)
+	r := playOf(c, surge[:len(surge)-len("load:\n  - {from: 3s, to: 6s, factor: 5, kinds: [view]}\n")]+`faults:
+  - {kind: limit, at: 2s, for: 2s, service: deep, rate: 70}
+  - {kind: leave, at: 5s, for: 2s, service: deep, replicas: [1]}
+`)
+	orders, views := r.Kinds[0], r.Kinds[1]
+	c.Check(orders.Answered > 0.95, qt.IsTrue, qt.Commentf("%+v", orders))
+	c.Check(views.Answered > 0.6 && views.Answered < 0.97, qt.IsTrue, qt.Commentf("%+v", views))
+	c.Check(r.RanTwice, qt.Equals, 0)
+}
--- a/bench/experiment/play/upstream.go
+++ b/bench/experiment/play/upstream.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"pollengauge.dev/bench/experiment/workload"
+	"pollengauge.dev/call"
 	"pollengauge.dev/demo/upstream"
 	"pollengauge.dev/objects"
 )
@@ -35,6 +36,8 @@
 	random *rand.Rand
 	// speed divides work, slow multiplies it.
 	speed, slow float64
+	// notice is what the upstream states in its answers.
+	notice call.UpstreamNotice
 }
 
 // serverSettings are what a server needs to know.
@@ -96,6 +99,31 @@
 	u.slow = factor
 }
 
+// nameLimit has the upstream name a limit from now on, or no longer.
+func (u *server) nameLimit(perSecond float64, named bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.notice.Limit, u.notice.Limited = perSecond, named
+}
+
+// leave has the upstream state from now on that it leaves.
+func (u *server) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.notice.Leaving = true
+}
+
+func (u *server) writeNotice(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.notice.Limited {
+		h.Set(headerLimit, strconv.FormatFloat(u.notice.Limit, 'f', -1, 64))
+	}
+	if u.notice.Leaving {
+		h.Set(headerLeaving, "1")
+	}
+}
+
 // draw returns how long one piece of work takes.
 func (u *server) draw(w workload.Work) time.Duration {
 	u.mu.Lock()
@@ -108,6 +136,7 @@
 func (u *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerEcho, id)
+	u.writeNotice(w.Header())
 	route := u.routeOf(r.URL.Path)
 	if route == nil {
 		w.WriteHeader(http.StatusNotFound)
--- a/bench/experiment/workload/check.go
+++ b/bench/experiment/workload/check.go
@@ -186,7 +186,7 @@
 	for i := range w.Faults {
 		f := &w.Faults[i]
 		at := item("faults", i)
-		r.expect(slices.Contains([]FaultKind{Slow, Freeze, Crash, Cut, Delay}, f.Kind), at+".kind", string(f.Kind), "slow, freeze, crash, cut or delay")
+		r.expect(slices.Contains([]FaultKind{Slow, Freeze, Crash, Cut, Delay, Limit, Leave}, f.Kind), at+".kind", string(f.Kind), "slow, freeze, crash, cut, delay, limit or leave")
 		r.expectDuration(at+".at", f.At, 0, w.Length)
 		r.expectDuration(at+".for", f.For, time.Millisecond, maxLength)
 		service := w.Service(f.Service)
@@ -196,6 +196,7 @@
 		}
 		r.expectFloat(at+".factor", f.Factor, 0.01, maxFactor)
 		r.expectDuration(at+".delay", f.Delay, 0, maxDelay)
+		r.expectFloat(at+".rate", f.Rate, 0, maxRate)
 		r.expect(f.Kind != Slow || f.Factor != defaultFactor, at+".factor", formatFloat(f.Factor), "how many times slower")
 		r.expect(f.Kind != Cut || w.Service(f.With) != nil, at+".with", f.With, "a service")
 		r.expect(f.Kind != Delay || f.Delay > 0, at+".delay", f.Delay.String(), "more than 0s")
--- a/bench/experiment/workload/fields.go
+++ b/bench/experiment/workload/fields.go
@@ -121,6 +121,7 @@
 		"factor":   r.float(&to.Factor),
 		"with":     r.text(&to.With),
 		"delay":    r.duration(&to.Delay),
+		"rate":     r.float(&to.Rate),
 	})
 }
 
--- a/bench/experiment/workload/workload.go
+++ b/bench/experiment/workload/workload.go
@@ -155,6 +155,10 @@
 	Cut FaultKind = "cut"
 	// Delay makes the ways to and from VMs longer.
 	Delay FaultKind = "delay"
+	// Limit makes upstreams name a limit on the requests that they take.
+	Limit FaultKind = "limit"
+	// Leave makes upstreams state that they leave, and replaces them at its end.
+	Leave FaultKind = "leave"
 )
 
 // Fault is one thing that breaks for a time.
@@ -171,6 +175,8 @@
 	With string
 	// Delay is that of Delay, one way.
 	Delay time.Duration
+	// Rate is that of Limit, in requests a second.
+	Rate float64
 }
 
 // Service returns the service of that name, nil if there is none.
--- a/bench/experiment/workload/workload_test.go
+++ b/bench/experiment/workload/workload_test.go
@@ -120,7 +120,7 @@
 		{"rank", "rank: 3", "rank: 16", Problem{16, "kinds[0].rank", "16", "0 to 15"}},
 		{"same name", "name: front", "name: deep", Problem{7, "services[1].name", "deep", wantName}},
 		{"two things in a step", "{work: 5ms, sigma: 0}", "{work: 5ms, inTurn: [row]}", Problem{12, "routes[0].steps[0]", "", "exactly one of work, inTurn and together"}},
-		{"fault", "kind: slow", "kind: slows", Problem{23, "faults[0].kind", "slows", "slow, freeze, crash, cut or delay"}},
+		{"fault", "kind: slow", "kind: slows", Problem{23, "faults[0].kind", "slows", "slow, freeze, crash, cut, delay, limit or leave"}},
 		{"no factor", ", factor: 4", "", Problem{23, "faults[0].factor", "1", "how many times slower"}},
 		{"mechanism", "NoFeedback", "NoFeedbacks", Problem{26, "variants[1].ablate", "NoFeedbacks", "a mechanism of the nodes, as NoFeedback"}},
 		{"way of a setting", "services.deep.slots", "services.deeper.slots", Problem{27, "services.deeper.slots", "deeper", "a field, or the name or number of an item"}},
