soak: a restored store alone, whose revisions stay below those from before

The new plan writes six versions, restores the store to before them and changes the configuration once.

--- a/cmd/pollengauge/soak/restore_test.go
+++ b/cmd/pollengauge/soak/restore_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 // Parameters of a restore of the store.
@@ -85,3 +90,78 @@
 		}
 	}
 }
+
+var restoresFlag = flag.Int("restores", 0, "play this many restores of the store alone, with the checks that go by the clock")
+
+const (
+	// lostChanges is the number of versions that a restore takes back, changePause the
+	// time between two of them.
+	lostChanges = 6
+	changePause = 150 * time.Millisecond
+	// settled is how long after a restore changes must be in force in time again.
+	settled = 4 * time.Second
+)
+
+// Guards against nodes that stay deaf to a restored store until its revisions exceed those
+// from before: each VM must get the next version, though nothing else is written.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	for range max(*restoresFlag, 1) {
+		playRestore(t, *restoresFlag > 0)
+	}
+}
+
+func playRestore(t *testing.T, timed bool) {
+	c := qt.New(t)
+	folder, err := os.MkdirTemp(*keepFlag, "restore-")
+	c.Assert(err, qt.IsNil)
+	f, err := newFleet(t.Context(), folder, *vmsFlag, fleetTerms(timed, *vmsFlag))
+	defer f.close()
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	f.load(ctx, 1, thinkTime)
+	pause(ctx, settled)
+	for range lostChanges {
+		f.operator.change(ctx)
+		pause(ctx, changePause)
+	}
+	// The watchers must have seen the revisions that are lost.
+	pause(ctx, longestAway)
+	_ = f.faults(`{"down":true}`)
+	pause(ctx, time.Duration(rand.Int64N(int64(longestAway))))
+	_ = f.faults(fmt.Sprintf(`{"restore_ms":%d}`, settled.Milliseconds()))
+	f.operator.writeAgain(ctx)
+	pause(ctx, settled)
+	f.operator.change(ctx)
+	changed := time.Now()
+	for _, v := range f.eachVM(func(v *vm) error {
+		if err := await(ctx, func() bool { return f.record.probedSince(v.number, changed, services[f.operator.number%2]) }); err != nil {
+			return unmetError{"in-force", v.number, "it does not get a version written after a restore of the store", err}
+		}
+		if took := time.Since(changed); timed && took > inForceWithin+schedulingDelay {
+			return unmetError{"in-force", v.number, "a version written after a restore of the store came late", lateError{took}}
+		}
+		return nil
+	}) {
+		c.Errorf("%s", v)
+	}
+	stop()
+	c.Assert(f.failed, qt.IsNil)
+	if c.Failed() {
+		c.Logf("logs are in %s", folder)
+		return
+	}
+	c.Check(os.RemoveAll(folder), qt.IsNil)
+}
+
+// lateError reports how long a change took.
+type lateError struct{ took time.Duration }
+
+func (e lateError) Error() string { return e.took.String() }
+
+// probedSince reports whether a service has answered on the probe route of a VM since a time.
+func (r *record) probedSince(vm int, since time.Time, service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.probes, func(p probe) bool { return p.vm == vm && p.at.After(since) && p.service == service })
+}
