spec: no request after a stated departure, with restarts of the node beside the upstream

Without the statement in calls, without the incarnation in it, and without the drain the checker finds an error.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -81,6 +81,7 @@
 check holds quarantine liveness 'a cause is held by all in the end' -DLIVENESS -DCAUSE
 check holds quarantine liveness 'the same, and one node restarts' -DLIVENESS -DCAUSE -DRESTART
 check holds quota safety 'the sum lent stays below the limit: cuts and a restart'
+check holds departure safety 'no request after a stated departure, restarts, next life'
 
 # A bound of what is promised: this is known not to hold.
 check error restart safety 'clock set back: an earlier life may return for a while' -DCLOCK_BACK
@@ -140,6 +141,9 @@
 for safeguard in SHARE EMPTY STORED; do
 	lacks quota safety $safeguard
 done
+for safeguard in STATE INSTANCE DRAIN; do
+	lacks departure safety $safeguard
+done
 
 if [ $deviations -ne 0 ]; then
 	echo "$deviations deviations"
