--- a/admission/ratelimit_test.go
+++ b/admission/ratelimit_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against dispatches above the rate in any window, with random arrivals, changes of
-// the rate, and restarts that lose what was counted.
+// the rate, pauses of the process, and restarts that lose what was counted.
 func TestRateHoldsInEveryWindow(t *testing.T) {
 	const window = 4 * time.Second
 	for seed := range uint64(200) {
@@ -37,6 +37,8 @@
 				rate = 0.2 + r.Float64()*100
 				highest = max(highest, rate)
 				l.set(rate, now)
+			case 2:
+				now += window
 			}
 			if l.untilDue(now) == 0 {
 				l.take()
