--- a/node/limitedfleet_test.go
+++ b/node/limitedfleet_test.go
@@ -83,13 +83,6 @@
 	}
 }
 
-// excuse stops counting the requests of a node until it passes on the limit again.
-func (u *limitedUpstream) excuse(origin string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	delete(u.told, origin)
-}
-
 // mostInWindow returns the highest number of counted arrivals within slidingCountTime,
 // among the windows that end once the limit must hold.
 func (u *limitedUpstream) mostInWindow() int {
