--- a/objects/restored_test.go
+++ b/objects/restored_test.go
@@ -83,9 +83,11 @@
 		for _, o := range found {
 			want[o.Name] = string(o.Value)
 		}
+		synctest.Wait()
 		c.Check(seen, qt.DeepEquals, want, qt.Commentf("%d writes after the restore", writesAfter))
 		put("b", "last")
 		time.Sleep(time.Second)
+		synctest.Wait()
 		c.Check(seen["b"], qt.Equals, "last")
 		stop()
 		synctest.Wait()
