soak: a restore that loses the configuration's object does not block the operator

It creates it again now, and a restore that a paused store did not take is repeated, so that the store can't stay down.

--- a/cmd/pollengauge/soak/restore_test.go
+++ b/cmd/pollengauge/soak/restore_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/objects"
 )
 
 // Parameters of a restore of the store.
@@ -32,8 +34,9 @@
 	loss := away + time.Duration(rand.Int64N(int64(longestLoss)))
 	_ = f.faults(`{"down":true}`)
 	pause(ctx, away)
-	// A paused store responds to this request late, and is restored then.
-	_ = f.faults(fmt.Sprintf(`{"restore_ms":%d}`, loss.Milliseconds()))
+	// A paused store responds late. It must not stay down.
+	restoring := fmt.Sprintf(`{"restore_ms":%d}`, loss.Milliseconds())
+	f.check(await(ctx, func() bool { return f.faults(restoring) == nil }))
 	f.operator.writeAgain(ctx)
 	f.record.mu.Lock()
 	entries := slices.Clone(f.record.entries)
@@ -59,17 +62,15 @@
 	defer o.mu.Unlock()
 	err := await(ctx, func() bool {
 		stored, err := o.store.Get(ctx, configKind, configName)
-		if err != nil {
-			return false
-		}
-		o.current = stored
-		if o.latest == nil || slices.Equal(stored.Value, o.latest) {
-			return true
+		switch {
+		case errors.As(err, new(*objects.NotFoundError)):
+			stored, err = o.store.Create(ctx, configKind, configName, o.latest)
+		case err == nil && !slices.Equal(stored.Value, o.latest):
+			stored.Value = o.latest
+			stored, err = o.store.Update(ctx, stored)
 		}
-		stored.Value = o.latest
-		written, err := o.store.Update(ctx, stored)
 		if err == nil {
-			o.current = written
+			o.current = stored
 		}
 		return err == nil
 	})
