node: a shutdown completes the calls of a request that has lost its caller

While a node shut down, a request lost its caller (a sibling call failed, the caller left). The visit was cancelled, and with it the call that its upstream was making, although another upstream worked on it: the node answered it with 502. A visit's context now ends when the run is aborted, not when the caller disconnects, and in a shutdown the calls in progress don't end with their visit. Otherwise package cancellation decides: short runs finish and keep their connection, and a run without a caller makes no further calls. At the end of a drain calls of other nodes are refused as not-run instead of being cut, and open visits make no calls in its last tenth.

--- /dev/null
+++ b/node/abandoned.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"pollengauge.dev/cancellation"
+	"pollengauge.dev/observe"
+)
+
+// maxAbandonedRuns bounds the runs without a caller that are allowed to finish at one time.
+// Each holds a goroutine, a connection to the upstream and the buffers of its answer.
+const maxAbandonedRuns = 256
+
+// abandonedRuns tracks the runs whose caller no longer waits and that are allowed to finish.
+type abandonedRuns struct {
+	mu     sync.Mutex
+	aborts map[*visit]context.CancelFunc
+	// closed is set once the node has closed, and no run may finish any more.
+	closed bool
+}
+
+// add tracks a run that abort ends. It returns false if the node has closed.
+func (a *abandonedRuns) add(v *visit, abort context.CancelFunc) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return false
+	}
+	if a.aborts == nil {
+		a.aborts = make(map[*visit]context.CancelFunc)
+	}
+	a.aborts[v] = abort
+	return true
+}
+
+func (a *abandonedRuns) remove(v *visit) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.aborts, v)
+}
+
+func (a *abandonedRuns) full() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.aborts) >= maxAbandonedRuns
+}
+
+// close aborts all runs and those that lose their caller later.
+func (a *abandonedRuns) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	for _, abort := range a.aborts {
+		abort()
+	}
+}
+
+// visitContext returns the context of a visit and the function that releases it. The context
+// ends at the deadline, or when the run is aborted after ctx, the context of its caller, has
+// ended.
+func (n *Node) visitContext(ctx context.Context, v *visit) (context.Context, context.CancelFunc) {
+	visitCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), v.deadline)
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			n.callerDisconnected(v, cancel)
+		}
+	})
+	return visitCtx, func() {
+		if !stop() {
+			n.abandoned.remove(v)
+		}
+		cancel()
+	}
+}
+
+// callerDisconnected decides whether a run without a caller may finish. The upstream can make
+// no further calls for it: they are refused, so the run ends at its next call.
+func (n *Node) callerDisconnected(v *visit, abort context.CancelFunc) {
+	v.abandon()
+	verdict := cancellation.Decide(cancellation.Run{
+		Worked:       v.worked(n.now()),
+		Usual:        n.work.Mean(v.call.Profile),
+		Calling:      v.calling(),
+		ShuttingDown: n.shutsDownGracefully(),
+		Contended:    n.gate.HasQueue(),
+		Full:         n.abandoned.full(),
+	})
+	verdict.Finish = verdict.Finish && n.abandoned.add(v, abort)
+	n.metrics.AbandonedRuns.With(verdictLabel(verdict.Finish), string(verdict.Reason)).Inc(1)
+	if verdict.Reason == cancellation.Full {
+		n.log.Emit(observe.AbandonedRunsFull, observe.Int("limit", maxAbandonedRuns))
+	}
+	if !verdict.Finish {
+		abort()
+		return
+	}
+	if verdict.Within == 0 {
+		return
+	}
+	overdue := time.AfterFunc(verdict.Within, func() {
+		n.metrics.AbandonedRuns.With(runAborted, runOverdue).Inc(1)
+		abort()
+	})
+	context.AfterFunc(v.ctx, func() { overdue.Stop() })
+}
+
+// Labels of the metric of runs without a caller. runOverdue is the reason for a run that did
+// not end within the time that it was allowed.
+const (
+	runFinished = "finish"
+	runAborted  = "abort"
+	runOverdue  = "overdue"
+)
+
+func verdictLabel(finish bool) string {
+	if finish {
+		return runFinished
+	}
+	return runAborted
+}
+
+// countingNetwork counts the connections that it opens. Each run that is aborted costs one.
+type countingNetwork struct {
+	Network
+	opened metrics.Counter
+}
+
+// Dial implements Network.
+func (c *countingNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := c.Network.Dial(ctx, addr)
+	if err == nil {
+		c.opened.Inc(1)
+	}
+	return conn, err
+}
+
+// callContext returns the context of a call that the upstream makes for v. The call ends with
+// its own caller, at the deadline, and with v.
+//
+// While the node shuts down, the call doesn't end with v: the upstream that made it still waits
+// for its answer, and an upstream elsewhere works on it.
+func (n *Node) callContext(own context.Context, v *visit, deadline time.Time) (context.Context, context.CancelFunc) {
+	return mergeContext(own, v.ctx, deadline, n.shutsDownGracefully)
+}
+
+// shutsDownGracefully reports whether the node shuts down and the time of its drain is not
+// over.
+func (n *Node) shutsDownGracefully() bool { return n.ending.Load() && !n.inflight.Interrupted() }
--- a/node/context.go
+++ b/node/context.go
@@ -21,10 +21,12 @@
 // b may reach the deadline a moment before the timer of the merged context fires. If
 // the merged context were cancelled then, a call that timed out would be reported as
 // cancelled. At the deadline it therefore expires by itself.
-func mergeContext(a, b context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+//
+// When b ends and ignored returns true, the merged context continues.
+func mergeContext(a, b context.Context, deadline time.Time, ignored func() bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(a, deadline)
 	stop := context.AfterFunc(b, func() {
-		if !errors.Is(b.Err(), context.DeadlineExceeded) {
+		if !errors.Is(b.Err(), context.DeadlineExceeded) && !ignored() {
 			cancel()
 		}
 	})
--- a/node/context_test.go
+++ b/node/context_test.go
@@ -27,7 +27,7 @@
 			deadline := time.Now().Add(time.Second)
 			caller, endCaller := context.WithCancel(t.Context())
 			visit, endVisit := context.WithDeadline(t.Context(), deadline)
-			ctx, release := mergeContext(caller, visit, deadline)
+			ctx, release := mergeContext(caller, visit, deadline, func() bool { return false })
 			c.Check(ctx.Err(), qt.IsNil)
 			test.end(endCaller, endVisit)
 			synctest.Wait()
--- a/node/ending.go
+++ b/node/ending.go
@@ -43,6 +43,7 @@
 	n.SetDraining(true)
 	objects.Pause(ctx, acceptTime-drainDelay)
 	n.closed.Store(true)
+	defer n.closeCallsBefore(ctx)()
 	err := n.awaitNoActive(ctx)
 	if err != nil {
 		n.inflight.Interrupt()
@@ -60,6 +61,23 @@
 	return err
 }
 
+// lastCallShare is the last part of a drain, as a fraction of its time, in which the upstream
+// can make no further calls. Calls in progress at the end of the drain are broken off although
+// an upstream works on them, so only calls that have had this much time may be.
+const lastCallShare = 0.1
+
+// closeCallsBefore refuses the calls of open visits shortly before ctx ends. The function
+// returned cancels this.
+func (n *Node) closeCallsBefore(ctx context.Context) (cancel func()) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return func() {}
+	}
+	last := time.Duration(lastCallShare * float64(n.adjusted.Load().DrainTimeout))
+	timer := time.AfterFunc(time.Until(end)-last, func() { n.callsClosed.Store(true) })
+	return func() { timer.Stop() }
+}
+
 // shutdownTimes returns shutdownDrainDelay and shutdownAcceptTime for a drain that may take
 // drainTimeout. In a short drain both are shorter, so that at least half of it is left to
 // the requests that were accepted last.
--- a/node/node.go
+++ b/node/node.go
@@ -70,9 +70,10 @@
 	// quarantine tracks the requests under which upstreams crash.
 	quarantine *quarantineState
 	// quotas enforces the rate limits of customers.
-	quotas  *quotaState
-	lag     lagMeter
-	offered offered
+	quotas    *quotaState
+	lag       lagMeter
+	offered   offered
+	abandoned abandonedRuns
 	// unsettled lists calls with an unknown fate that no key table holds.
 	unsettled unsettled
 	keys      *atmostonce.Table
@@ -113,8 +114,9 @@
 	ending atomic.Bool
 	// drainTimedOut is set once the time of the drain was over with requests open.
 	drainTimedOut atomic.Bool
-	// closed is set once the node refuses all new requests.
-	closed atomic.Bool
+	// closed is set once the node refuses all new requests. callsClosed is set once it
+	// refuses the calls of open visits as well.
+	closed, callsClosed atomic.Bool
 	// ownSlots are the slots of the upstream on this VM. joined is set once the node has
 	// joined the gossip and may announce them.
 	ownSlots atomic.Int64
@@ -301,6 +303,7 @@
 		n.stop()
 	}
 	n.cutOpen(n.closeCause())
+	n.abandoned.close()
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -81,7 +81,7 @@
 	report.Outcome = call.Unknown
 	v.ticket.Block()
 	defer v.ticket.Unblock()
-	ctx, cancel := mergeContext(r.Context(), v.ctx, req.deadline)
+	ctx, cancel := n.callContext(r.Context(), v, req.deadline)
 	defer cancel()
 	start := n.now()
 	a := n.runChild(ctx, req, v, childKey)
--- a/node/peer.go
+++ b/node/peer.go
@@ -87,6 +87,11 @@
 	}
 	defer a.close()
 	setWriteDeadline(w, req.deadline)
+	if n.closed.Load() {
+		// The peer opens no new request on a connection that is about to be closed: it
+		// could not tell whether the request was read.
+		w.Header().Set("Connection", "close")
+	}
 	err := writeAnswer(w, a)
 	if gone || err != nil {
 		n.noteCallerDisconnected(req)
@@ -127,6 +132,9 @@
 }
 
 func (n *Node) runPeer(ctx context.Context, req *request) *answer {
+	if n.closed.Load() {
+		return n.refuse(call.NotRun, call.ReasonDraining, 0)
+	}
 	if n.busy(admission.PeerCall) {
 		return n.refuse(call.NotRun, call.ReasonBusy, 0)
 	}
--- a/node/routed.go
+++ b/node/routed.go
@@ -28,9 +28,9 @@
 	}
 	parent := n.parentOf(req)
 	if parent == nil {
-		if req.identity.customer == nil && n.config.Current().KeyRequired(req.profile) {
-			// The visit that made this call has ended since the call was accepted as a
-			// part of it.
+		if n.madeForAbandonedVisit(req) || req.identity.customer == nil && n.config.Current().KeyRequired(req.profile) {
+			// The visit that made this call has ended or lost its caller since the call
+			// was accepted as a part of it.
 			n.writeRefused(w, n.refuse(call.NotRun, call.ReasonVisitClosed, 0), r)
 			return
 		}
@@ -39,7 +39,7 @@
 	}
 	report := call.Report{Outcome: call.Unknown}
 	defer func() { parent.end(report, n.now()) }()
-	ctx, cancel := mergeContext(r.Context(), parent.ctx, req.deadline)
+	ctx, cancel := n.callContext(r.Context(), parent, req.deadline)
 	defer cancel()
 	report = n.serveRoot(w, r.WithContext(ctx), req)
 }
@@ -77,6 +77,17 @@
 	return parent
 }
 
+// madeForAbandonedVisit reports whether a request is a call for a visit whose caller no longer
+// waits.
+func (n *Node) madeForAbandonedVisit(req *request) bool {
+	id := n.settings.Dialect.ParentOf(req.call.RequestID)
+	if id == "" {
+		return false
+	}
+	parent, ok := n.visits.find(id)
+	return ok && parent.isAbandoned()
+}
+
 // writeRefused writes the refusal of a request that has no route or can't be read. The
 // request has not run.
 func (n *Node) writeRefused(w http.ResponseWriter, a *answer, r *http.Request) {
@@ -156,15 +167,15 @@
 }
 
 // madeForOpenVisit reports whether a request is a call that the upstream on this VM makes
-// for a visit that is open. Such calls are carried until the end of a drain: if they were
-// refused, requests that were accepted before would fail.
+// for a visit that is open. Such calls are carried nearly until the end of a drain: if they
+// were refused, requests that were accepted before would fail.
 func (n *Node) madeForOpenVisit(r *http.Request) bool {
 	parent := n.settings.Dialect.ParentOf(n.requestIDOf(r))
 	if parent == "" {
 		return false
 	}
 	_, open := n.visits.find(parent)
-	return open
+	return open && !n.callsClosed.Load()
 }
 
 // refuseUnrouted refuses a request for which a configuration version has no route. If
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -143,7 +143,7 @@
 		next.since = old.since
 		next.incarnation = old.incarnation
 	} else {
-		next.transport = newTransport(n.network, a.Connections)
+		next.transport = newTransport(&countingNetwork{Network: n.network, opened: n.metrics.UpstreamConns}, a.Connections)
 		next.incarnation = newIncarnation()
 	}
 	n.upstream.Store(next)
--- a/node/visit.go
+++ b/node/visit.go
@@ -42,7 +42,9 @@
 
 	mu     sync.Mutex
 	closed bool
-	open   int
+	// abandoned is set once the caller no longer waits for the answer.
+	abandoned bool
+	open      int
 	// done counts the downstream calls that ran or may have run.
 	done int
 	// completed counts the downstream calls that succeeded, by profile.
@@ -61,11 +63,12 @@
 
 // begin opens a downstream call. It returns false once the visit is closed: a call
 // that the upstream makes after its response was judged can no longer be counted, and
-// would make a not-run that was already reported wrong.
+// would make a not-run that was already reported wrong. It also returns false once the
+// visit has lost its caller: nobody needs the call.
 func (v *visit) begin(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.closed {
+	if v.closed || v.abandoned {
 		return false
 	}
 	if v.open == 0 {
@@ -143,6 +146,26 @@
 	return v.done == 0 && v.open == 0
 }
 
+// abandon records that the caller no longer waits for the answer.
+func (v *visit) abandon() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.abandoned = true
+}
+
+func (v *visit) isAbandoned() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.abandoned
+}
+
+// calling reports whether the run waits for a downstream call.
+func (v *visit) calling() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.open > 0
+}
+
 // worked returns how long the upstream itself has worked until now. The time during
 // which downstream calls were open is not counted.
 func (v *visit) worked(now time.Time) time.Duration {
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -59,6 +59,10 @@
 	// RequestsCut counts requests whose connection closed without a complete response, by
 	// cause.
 	RequestsCut Counters
+	// AbandonedRuns counts runs whose caller disconnected, by verdict and reason.
+	AbandonedRuns Counters
+	// UpstreamConns counts the connections opened to the upstream on this VM.
+	UpstreamConns metrics.Counter
 	// Strangers counts requests without the key of a customer, by reason.
 	Strangers Counters
 	// Quotas counts requests of customers with a limit, by result of the check.
@@ -157,6 +161,8 @@
 	m.Malformed = m.counters(malformedMetric)
 	m.Unrouted = m.counters(unroutedMetric)
 	m.RequestsCut = m.counters(requestsCutMetric)
+	m.AbandonedRuns = m.counters(abandonedRunsMetric)
+	m.UpstreamConns = m.counters(upstreamConnsMetric).With()
 	m.Strangers = m.counters(unauthenticatedMetric)
 	m.Quotas = m.counters(quotasMetric)
 	m.Panics = m.counters(panicsMetric).With()
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -91,6 +91,8 @@
 	quotasMetric          = defineMetric("pollengauge_quota_requests_total", CounterKind, unitCount, "Requests of customers with a limit: taken within it, refused beyond it, or unknown where nobody who counts could be asked.", "result")
 	unroutedMetric        = defineMetric("pollengauge_unrouted_total", CounterKind, unitCount, "Requests for which the configuration in force has no route, by what their callers were told.", "reason")
 	requestsCutMetric     = defineMetric("pollengauge_requests_cut_total", CounterKind, unitCount, "Requests that were read and whose connection closed without a complete response, by cause.", "cause")
+	abandonedRunsMetric   = defineMetric("pollengauge_abandoned_runs_total", CounterKind, unitCount, "Runs at the upstream whose caller disconnected, by verdict (finish, abort) and reason. A run that was allowed to finish and took too long is counted again, as aborted for the reason overdue.", "verdict", "reason")
+	upstreamConnsMetric   = defineMetric("pollengauge_upstream_connections_opened_total", CounterKind, unitCount, "Connections opened to the upstream on this VM.")
 	panicsMetric          = defineMetric("pollengauge_panics_total", CounterKind, unitCount, "Panics recovered while serving.")
 	pipelinedMetric       = defineMetric("pollengauge_requests_begun_early_total", CounterKind, unitCount, "Requests that were begun while a request before them on their caller's connection was not answered yet.")
 	spansMetric           = defineMetric("pollengauge_spans_total", CounterKind, unitCount, "Spans handed to the exporter, by result.", "result")
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -90,6 +90,7 @@
 	m.UpstreamReported.With("waiting").Update(2)
 	m.Unrouted.With("no-route").Inc(1)
 	m.RequestsCut.With("shutdown").Inc(1)
+	m.AbandonedRuns.With("finish", "ends-soon").Inc(1)
 	m.Strangers.With("unauthorized").Inc(1)
 	m.Quotas.With("taken").Inc(1)
 	m.Spans.With("dropped").Inc(1)
--- a/routing/worktime.go
+++ b/routing/worktime.go
@@ -118,6 +118,17 @@
 	mean.micros += (float64(took.Microseconds()) - mean.micros) / float64(mean.samples)
 }
 
+// Mean returns the mean work time of a profile's calls, 0 if too few were measured.
+func (w *WorkMeter) Mean(profile string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	mean := w.profiles[ProfileKey(profile)]
+	if mean == nil || mean.samples < minMeanSamples {
+		return 0
+	}
+	return time.Duration(mean.micros * float64(time.Microsecond))
+}
+
 // Reset discards the measurements, because another upstream has taken over.
 func (w *WorkMeter) Reset() {
 	w.mu.Lock()
