node: few runs without a caller finish where the upstream is nearly full

The condition was a queue at the gate, which is empty while roots reject by pressure; it is now that over three quarters of the slots are in use.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -243,9 +243,6 @@
 	return float64(inflight) <= maxUsedSlotShare*float64(g.slots.Load())
 }
 
-// HasQueue reports whether calls wait for a slot.
-func (g *Gate) HasQueue() bool { return g.word.Load()&queuedFlag != 0 }
-
 // profile returns the record of a profile and creates it if it doesn't exist.
 func (g *Gate) profile(name string) *profileStats {
 	if p := g.profiles.find(name); p != nil {
--- a/cancellation/cancellation.go
+++ b/cancellation/cancellation.go
@@ -14,7 +14,7 @@
 	// finishTime is the longest expected rest of a run that is allowed to finish. It leaves
 	// room for the run to last longer than expected and still end before MaxAbandoned.
 	finishTime = 200 * time.Millisecond
-	// contendedFinishTime applies while other calls wait for a slot: a slot is then worth
+	// contendedFinishTime applies while the upstream is nearly full: a slot is then worth
 	// more than a connection, which costs an upstream about a millisecond.
 	contendedFinishTime = 50 * time.Millisecond
 	// tailShare is the least expected rest of a run, as a share of the time that it has
@@ -37,7 +37,7 @@
 	// still waits, and a node that shuts down must not answer those in place of an upstream
 	// that works on them.
 	ShuttingDown bool
-	// Contended is set while other calls wait for a slot of the upstream.
+	// Contended is set while few slots of the upstream are free, or none.
 	Contended bool
 	// Full is set while the node lets as many runs finish as it can track.
 	Full bool
--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -88,7 +88,7 @@
 		Usual:        n.work.Mean(v.call.Profile),
 		Calling:      v.calling(),
 		ShuttingDown: n.shutsDownGracefully(),
-		Contended:    n.gate.HasQueue(),
+		Contended:    !n.gate.HasFreeSlots(),
 		Full:         n.abandoned.full(),
 	})
 	verdict.Finish = verdict.Finish && n.abandoned.add(v, abort)
