--- a/admission/doc.go
+++ b/admission/doc.go
@@ -17,10 +17,10 @@
 //     in time.
 //
 // At the root of a request, Feedback and Shedder refuse calls that a downstream
-// hop would refuse, Ranker and FairTiebreak set the tie-break that shares a
-// level fairly among callers, and Brownout stores recent complete responses for
-// profiles that prefer a stale response to a refusal. ShouldRefuse reports whether a
-// node is too far behind with its own work to begin more.
+// hop would refuse, Ranker, FairTiebreak and ShareTiebreak set the tie-break that
+// shares a level fairly among callers, and Brownout stores recent complete responses
+// for profiles that prefer a stale response to a refusal. ShouldRefuse reports whether
+// a node is too far behind with its own work to begin more.
 //
 // SetRate adds a limit on the calls dispatched in a second, for an upstream that names
 // one.
--- a/admission/fairshare.go
+++ b/admission/fairshare.go
@@ -20,3 +20,34 @@
 	}
 	return call.Tiebreak((1 - use*draw) * float64(call.MaxTiebreak))
 }
+
+const (
+	// MaxShare is the highest share that ShareTiebreak distinguishes. It bounds how much
+	// less often a customer is admitted than one at its whole share.
+	MaxShare = 8
+	// excessBand is the part of the tie-breaks in which the requests beyond a share are
+	// placed. It has eight tie-breaks: if all of them had the lowest one, a level could
+	// refuse either none or all, and pressure would swing between the two.
+	excessBand = 1.0 / 16
+)
+
+// ShareTiebreak returns the tie-break of a request from the part of its share that its
+// customer uses, which may exceed 1. draw is a random number from 0 to 1, exclusive. Up
+// to a share of 1 the result is that of FairTiebreak.
+//
+// Load pattern: customers use more than their share of an overloaded upstream, because
+// their requests take more of it than those of others. A level that admits the requests
+// placed above 1-x admits of every customer's requests what amounts to x of its share.
+// The requests beyond the share are placed in the lowest tie-breaks, those of the
+// largest excess last, so that they are refused first and admitted when there is room.
+func ShareTiebreak(share, draw float64) call.Tiebreak {
+	if !(share > 1) {
+		return FairTiebreak(share, draw)
+	}
+	used := min(share, MaxShare) * draw
+	position := 1 - used
+	if used > 1-excessBand {
+		position = excessBand * (MaxShare - used) / (MaxShare - 1 + excessBand)
+	}
+	return call.Tiebreak(position * float64(call.MaxTiebreak))
+}
