config, customer: weight of a customer

A weight above 0 and up to 1000 sets a customer's part of a service with too few slots. 0 and values that are not numbers are a ParseError, other values out of range a problem of the ValidationError.

--- a/config/customers.go
+++ b/config/customers.go
@@ -125,10 +125,23 @@
 		"priority": func(n *yaml.Node, path string) error { return readInt(n, path, &c.Priority) },
 		"rate":     func(n *yaml.Node, path string) error { return readFloat(n, path, &c.Rate) },
 		"burst":    func(n *yaml.Node, path string) error { return readFloat(n, path, &c.Burst) },
+		"weight":   func(n *yaml.Node, path string) error { return readWeight(n, path, &c.Weight) },
 	}, "name", "keyDigests")
 	return err
 }
 
+// readWeight reads a weight. A weight of 0 is refused here, because a Customer with that weight is
+// one without the field. Other values out of range are problems of the Set.
+func readWeight(n *yaml.Node, path string, weight *float64) error {
+	if err := readFloat(n, path, weight); err != nil {
+		return err
+	}
+	if *weight == 0 {
+		return nodeError(n, path, customer.WeightRange)
+	}
+	return nil
+}
+
 // readDigest reads the digest of a key. Its error never includes the value: an operator
 // may have entered a key where its digest belongs.
 func readDigest(n *yaml.Node, path string, d *customer.Digest) error {
@@ -153,6 +166,7 @@
 			{"priority", strconv.Itoa(c.Priority)},
 			{"rate", formatFloat(c.Rate)},
 			{"burst", formatFloat(c.Burst)},
+			{"weight", formatFloat(c.ShareWeight())},
 		}}
 	}
 	return items
--- a/customer/customer.go
+++ b/customer/customer.go
@@ -22,6 +22,9 @@
 	// Rate of 0 means no limit.
 	Rate  float64 `json:"rate,omitempty" yaml:"rate,omitempty"`
 	Burst float64 `json:"burst,omitempty" yaml:"burst,omitempty"`
+	// Weight is the customer's part of a service with too few slots, relative to its Rate and
+	// to other customers. 0 means that the field is absent; see ShareWeight.
+	Weight float64 `json:"weight,omitempty" yaml:"weight,omitempty"`
 }
 
 // Bounds of a Customer.
@@ -31,6 +34,10 @@
 	// MaxRate and MaxBurst keep sums over time far from overflow.
 	MaxRate  = 1e9
 	MaxBurst = 1e9
+	// MaxWeight and DefaultWeight are the highest weight and that of a customer without the
+	// field.
+	MaxWeight     = 1000
+	DefaultWeight = 1
 	// MaxKeys is the maximum number of keys of one customer, and MaxCustomers the
 	// maximum number of customers, that operators may submit.
 	MaxKeys      = 100
@@ -40,6 +47,21 @@
 // Limited reports whether the customer has a rate limit.
 func (c *Customer) Limited() bool { return c != nil && c.Rate > 0 }
 
+// ShareWeight returns the customer's weight. It is DefaultWeight if the field is absent or, in a
+// configuration that was not checked by this build, not valid.
+func (c *Customer) ShareWeight() float64 {
+	if !ValidWeight(c.Weight) {
+		return DefaultWeight
+	}
+	return c.Weight
+}
+
+// ValidWeight reports whether operators may set this weight.
+func ValidWeight(weight float64) bool { return weight > 0 && weight <= MaxWeight }
+
+// WeightRange is the range of a weight, for messages to operators.
+const WeightRange = "above 0 and up to 1000"
+
 // Validate checks a complete list of customers submitted by an operator and returns all
 // problems found.
 func Validate(list []Customer) []*Error {
@@ -90,6 +112,9 @@
 	if !(c.Burst >= 0 && c.Burst <= MaxBurst) {
 		v.add(place, label, "burst", "0 to 1e9 requests")
 	}
+	if c.Weight != 0 && !ValidWeight(c.Weight) {
+		v.add(place, label, "weight", WeightRange)
+	}
 }
 
 // ValidName reports whether s can name a customer and can be sent in a header.
--- a/customer/customer_test.go
+++ b/customer/customer_test.go
@@ -83,6 +83,10 @@
 		"negative rate":    {[]Customer{{Name: "a", Rate: -1}}, `"a"`, "rate"},
 		"no number":        {[]Customer{{Name: "a", Rate: math.NaN()}}, `"a"`, "rate"},
 		"infinite burst":   {[]Customer{{Name: "a", Burst: math.Inf(1)}}, `"a"`, "burst"},
+		"negative weight":  {[]Customer{{Name: "a", Weight: -1}}, `"a"`, "weight"},
+		"large weight":     {[]Customer{{Name: "a", Weight: MaxWeight + 1}}, `"a"`, "weight"},
+		"weight no number": {[]Customer{{Name: "a", Weight: math.NaN()}}, `"a"`, "weight"},
+		"weight":           {[]Customer{{Name: "a", Weight: MaxWeight}, {Name: "b", Weight: 0.001}, {Name: "c"}}, "", ""},
 		"many customers":   {numbered(MaxCustomers + 1), strconv.Itoa(MaxCustomers + 1), "customers"},
 		"the most allowed": {numbered(MaxCustomers), "", ""},
 	} {
@@ -97,6 +101,16 @@
 	}
 }
 
+// Guards against a weight that removes a customer from the ranking: a node takes configurations that
+// another build has checked.
+func TestInvalidWeightsCountAsTheDefault(t *testing.T) {
+	c := qt.New(t)
+	for _, weight := range []float64{0, -1, MaxWeight + 1, math.NaN(), math.Inf(1)} {
+		c.Check((&Customer{Weight: weight}).ShareWeight(), qt.Equals, 1.0)
+	}
+	c.Check((&Customer{Weight: 3}).ShareWeight(), qt.Equals, 3.0)
+}
+
 func numbered(count int) []Customer {
 	list := make([]Customer, count)
 	for i := range list {
