--- a/cmd/pollengauge/internal/cli/customers_test.go
+++ b/cmd/pollengauge/internal/cli/customers_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -52,9 +53,41 @@
 	for _, shown := range []string{got.stdout, table.stdout, command(ctx, "", "config", platform).stdout} {
 		c.Check(strings.Contains(shown, key), qt.IsFalse)
 	}
+	c.Check(views[0].Weight, qt.Equals, 1.0)
 	wrong := strings.Replace(text, digest, key, 1)
 	c.Assert(os.WriteFile(file, []byte(wrong), 0o600), qt.IsNil)
 	got = command(ctx, "", "validate", "-f", file)
 	c.Check(got.code, qt.Not(qt.Equals), ExitOK)
 	c.Check(strings.Contains(got.stdout+got.stderr, key), qt.IsFalse, qt.Commentf("the output shows a key given in place of a digest"))
 }
+
+// Guards against an operator who sees the slot time that a customer took at one node for that of
+// the deployment, and against columns that move: the earlier ones stay first.
+func TestSlotTimesOfAllNodesAreAdded(t *testing.T) {
+	c, ctx := testContext(t)
+	serve := func(customers ...node.CustomerView) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(node.CustomersResponse{ConfigVersion: 2, Customers: customers})
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	one := serve(node.CustomerView{Name: "a", Keys: 1, Rate: 5, Burst: 5, Home: true, Asked: 2, Weight: 3, SlotTimes: []node.SlotTimeView{
+		{Service: "desk", Seconds: 1, Refused: 2, Cost: 4}, {Service: "registry", Seconds: 0.5, Refused: 1, Cost: 1},
+	}})
+	two := serve(node.CustomerView{Name: "a", Keys: 1, Rate: 5, Burst: 5, Weight: 3, SlotTimes: []node.SlotTimeView{
+		{Service: "desk", Seconds: 3, Refused: 4, Cost: 2},
+	}})
+	// A node of an earlier build reports neither weights nor slot times.
+	three := serve(node.CustomerView{Name: "a", Keys: 1, Rate: 5, Burst: 5}, node.CustomerView{Name: "b"})
+	nodes := strings.Join([]string{one, two, three}, ",")
+	var views []node.CustomerView
+	got := command(ctx, "", "customers", "--nodes", nodes, "--json")
+	c.Assert(json.Unmarshal([]byte(got.stdout), &views), qt.IsNil, qt.Commentf("%s", got.stderr))
+	c.Check(views[0].SlotTimes, qt.DeepEquals, []node.SlotTimeView{
+		{Service: "desk", Seconds: 4, Refused: 6, Cost: 2.5}, {Service: "registry", Seconds: 0.5, Refused: 1, Cost: 1},
+	})
+	table := command(ctx, "", "customers", "--nodes", nodes)
+	c.Check(table.stdout, qt.Matches, `(?s)CUSTOMER +KEYS +PRIORITY +RATE +BURST +ASKED/S +REFUSED/S +WEIGHT +SLOT-SECONDS +REFUSED-UNDER-PRESSURE\n`+
+		`a +1 +0 +5 +5 +2 +0 +3 +desk=4,registry=0.5 +7\nb +0 +0 +- +- +- +- +- +- +0\n`)
+}
