slotshare: compare requests within their kind and bound the part of kinds

The set of customers in TestSlotTimeDecidesWhoIsRefused had a random order, so nodes refused it as another version of the same number in some runs; its order is fixed now.

--- a/node/slotshares.go
+++ b/node/slotshares.go
@@ -59,7 +59,7 @@
 		n.noteRefusedByShare(req)
 	case a.report.Outcome != call.Complete || a.status >= http.StatusBadRequest || a.report.Work <= 0:
 	case req.identity.customer != nil:
-		n.slots.table.Observe(req.identity.customer.Name, req.service, time.Duration(a.report.Work)*time.Millisecond)
+		n.slots.table.Observe(req.identity.customer.Name, req.service, req.call.Profile, time.Duration(a.report.Work)*time.Millisecond)
 	}
 }
 
--- a/node/slotshares_test.go
+++ b/node/slotshares_test.go
@@ -20,9 +20,10 @@
 	set, err := config.Parse([]byte(routedSet), config.YAML)
 	c.Assert(err, qt.IsNil)
 	set.Version = 2
-	for name, weight := range map[string]float64{"heavy": 0, "light": 0, "weighted": 3} {
-		set.Customers = append(set.Customers, customer.Customer{Name: name, Rate: 50, Burst: 50, Weight: weight, Keys: []customer.Digest{customer.DigestOf(name)}})
+	for _, name := range []string{"heavy", "light", "weighted"} {
+		set.Customers = append(set.Customers, customer.Customer{Name: name, Rate: 50, Burst: 50, Keys: []customer.Digest{customer.DigestOf(name)}})
 	}
+	set.Customers[2].Weight = 3
 	return set
 }
 
--- a/slotshare/replay_test.go
+++ b/slotshare/replay_test.go
@@ -1,6 +1,7 @@
 package slotshare_test
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -20,13 +21,15 @@
 	slotTime            time.Duration
 	// varies is set if slot times are exponentially distributed.
 	varies bool
+	// profile is the profile of the requests, "" for read.
+	profile string
 }
 
 // replay sends the requests of customers to a service that has room for the given part of their
 // slot time, and returns for each customer the admitted part of its requests, after the first half
 // of the time. byNumber ranks them by the number of requests alone.
 func replay(loads []load, room float64, seconds int, table *slotshare.Table, byNumber bool) []float64 {
-	const service, profile = "deep", "read"
+	const service = "deep"
 	r := rand.New(rand.NewPCG(1, 2))
 	shedder := admission.NewShedder()
 	names := make([]string, len(loads))
@@ -47,9 +50,10 @@
 			pressure = min(max(pressure+0.2*(taken/offered-room), 0), 0.99)
 			offered, taken = 0, 0
 		}
-		shedder.ObservePressure(profile, pressure, now)
 		who := pick(loads, r.Float64()*rate)
 		l := loads[who]
+		profile := cmp.Or(l.profile, "read")
+		shedder.ObservePressure(profile, pressure, now)
 		slotTime := l.slotTime
 		if l.varies {
 			slotTime = time.Duration(r.ExpFloat64() * float64(slotTime))
@@ -69,7 +73,7 @@
 			continue
 		}
 		taken += float64(slotTime)
-		table.Observe(names[who], service, slotTime)
+		table.Observe(names[who], service, profile, slotTime)
 		shedder.ObserveWork(profile, int(slotTime.Milliseconds()))
 		if measured {
 			admitted[who]++
@@ -135,6 +139,30 @@
 	c.Check(got[29]*30 < 1.5*got[19]*20, qt.IsTrue, qt.Commentf("%.3f", got))
 }
 
+// Guards against a kind of requests that starves because it counts as expensive twice: by the work
+// of its profile and by the cost of the only customers that send it. The bound is a quarter of the
+// part that is served of all requests.
+func TestAnExpensiveProfileDoesNotStarve(t *testing.T) {
+	c := qt.New(t)
+	for _, room := range []float64{0.9, 0.6, 0.3} {
+		loads := equal(20, 0.6)
+		for i := range 4 {
+			loads[i].profile, loads[i].slotTime = "long", 20*loads[i].slotTime
+		}
+		got := replay(loads, room, 60, slotshare.NewTable(), false)
+		today := replay(loads, room, 60, slotshare.NewTable(), true)
+		t.Logf("room %v: %.3f, by number %.3f", room, got, today)
+		long, all := 0.0, 0.0
+		for i, part := range got {
+			if i < 4 {
+				long += part / 4
+			}
+			all += part / float64(len(got))
+		}
+		c.Check(long > all/4, qt.IsTrue, qt.Commentf("%.3f of %.3f", long, all))
+	}
+}
+
 // Guards against a weight without effect: under the same load, a customer of weight 3 must keep
 // more of its requests, and the others still get some.
 func TestAWeightOf3(t *testing.T) {
--- a/slotshare/shard.go
+++ b/slotshare/shard.go
@@ -6,16 +6,19 @@
 	"time"
 )
 
-// none stands for no entry in an index.
-const none int32 = -1
+// index is the place of an entry in a shard. It has room for MaxEntries.
+type index int16
+
+// none is the index of no entry.
+const none index = -1
 
 // shard is one part of a Table. Its entries are in a hash table with chains and in a list by the
 // time at which they were last seen.
 type shard struct {
 	mu             sync.Mutex
 	entries        []entry
-	buckets        []int32
-	newest, oldest int32
+	buckets        []index
+	newest, oldest index
 }
 
 // entry is what a Table knows of a customer at a service.
@@ -24,11 +27,11 @@
 	slotTime time.Duration
 	refused  uint32
 	// newer and older are neighbours in the list, next is the next entry of the same bucket.
-	newer, older, next int32
-	// mean is the mean slot time in milliseconds, of seen responses.
-	mean    float32
-	seen    uint8
-	service uint8
+	newer, older, next index
+	// relative is the mean of the slot times of seen responses, each relative to the mean of its kind.
+	// expected is the mean of those means, in milliseconds.
+	relative, expected float32
+	seen, service      uint8
 }
 
 // cost returns the cost at the service s of this entry.
@@ -37,15 +40,15 @@
 		return 1
 	}
 	s.mu.Lock()
-	reference := s.mean
+	all := s.all.value
 	s.mu.Unlock()
-	return clampCost(float64(e.mean) / float64(reference))
+	return costOf(float64(e.relative), float64(e.expected), float64(all))
 }
 
 // bucket returns the place in buckets for a hash. The lowest bits select the shard.
 func (s *shard) bucket(hash uint64) uint64 { return hash / shardCount % uint64(len(s.buckets)) }
 
-func (s *shard) find(hash uint64, customer string, service uint8) int32 {
+func (s *shard) find(hash uint64, customer string, service uint8) index {
 	if len(s.buckets) == 0 {
 		return none
 	}
@@ -57,9 +60,9 @@
 }
 
 // insert adds an entry and returns its place.
-func (s *shard) insert(seed maphash.Seed, hash uint64, e entry) int32 {
+func (s *shard) insert(seed maphash.Seed, hash uint64, e entry) index {
 	s.grow(seed)
-	i := int32(len(s.entries))
+	i := index(len(s.entries))
 	s.entries = append(s.entries, e)
 	s.chain(hash, i)
 	s.prepend(i)
@@ -67,7 +70,7 @@
 }
 
 // replaceOldest puts an entry in the place of the least recently seen one.
-func (s *shard) replaceOldest(seed maphash.Seed, hash uint64, e entry) int32 {
+func (s *shard) replaceOldest(seed maphash.Seed, hash uint64, e entry) index {
 	i := s.oldest
 	old := &s.entries[i]
 	link := &s.buckets[s.bucket(hashOf(seed, old.customer, old.service))]
@@ -82,7 +85,7 @@
 	return i
 }
 
-func (s *shard) chain(hash uint64, i int32) {
+func (s *shard) chain(hash uint64, i index) {
 	b := s.bucket(hash)
 	s.entries[i].next, s.buckets[b] = s.buckets[b], i
 }
@@ -98,24 +101,24 @@
 	}
 	size := max(len(s.entries)+len(s.entries)/8, minEntries)
 	s.entries = append(make([]entry, 0, size), s.entries...)
-	s.buckets = make([]int32, size)
+	s.buckets = make([]index, size)
 	for i := range s.buckets {
 		s.buckets[i] = none
 	}
 	for i := range s.entries {
-		s.chain(hashOf(seed, s.entries[i].customer, s.entries[i].service), int32(i))
+		s.chain(hashOf(seed, s.entries[i].customer, s.entries[i].service), index(i))
 	}
 }
 
 // touch makes an entry the most recently seen one.
-func (s *shard) touch(i int32) {
+func (s *shard) touch(i index) {
 	if s.newest != i {
 		s.detach(i)
 		s.prepend(i)
 	}
 }
 
-func (s *shard) prepend(i int32) {
+func (s *shard) prepend(i index) {
 	e := &s.entries[i]
 	e.newer, e.older = none, s.newest
 	if s.newest != none {
@@ -126,7 +129,7 @@
 	s.newest = i
 }
 
-func (s *shard) detach(i int32) {
+func (s *shard) detach(i index) {
 	e := &s.entries[i]
 	if e.newer != none {
 		s.entries[e.newer].older = e.older
--- a/slotshare/table.go
+++ b/slotshare/table.go
@@ -14,6 +14,8 @@
 	// MaxServices bounds the services that a Table knows. Those with too few slots at one time
 	// are a few.
 	MaxServices = 64
+	// maxKinds bounds the kinds of requests to a service whose slot times are told apart.
+	maxKinds = 64
 	// minSeen is how many responses of a customer must have been seen for its cost to be used. The
 	// mean of fewer differs too much from that of its next requests.
 	minSeen = 8
@@ -45,16 +47,38 @@
 	name  string
 	index uint8
 	mu    sync.Mutex
-	// mean is the mean slot time of all requests, in milliseconds, of seen responses.
-	mean float32
-	seen uint8
+	// all is the mean slot time of all requests, kinds that of the requests of each kind.
+	all   runningMean
+	kinds map[string]*runningMean
 }
 
-func (s *service) add(slotTime time.Duration) {
+// runningMean is a mean of slot times in milliseconds, of seen responses.
+type runningMean struct {
+	value float32
+	seen  uint8
+}
+
+func (m *runningMean) add(slotTime float32) {
+	m.seen = min(m.seen, serviceWindow-1) + 1
+	m.value = addToMean(m.value, slotTime, m.seen)
+}
+
+// add records the slot time of a request and returns the mean of its kind. If there are too many
+// kinds, it is the mean of all requests.
+func (s *service) add(kind string, slotTime float32) (expected float32) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen = min(s.seen, serviceWindow-1) + 1
-	s.mean = addToMean(s.mean, slotTime, s.seen)
+	s.all.add(slotTime)
+	m := s.kinds[kind]
+	if m == nil {
+		if len(s.kinds) >= maxKinds {
+			return s.all.value
+		}
+		m = &runningMean{}
+		s.kinds[strings.Clone(kind)] = m
+	}
+	m.add(slotTime)
+	return m.value
 }
 
 // NewTable returns a Table that knows no customers.
@@ -66,10 +90,10 @@
 	return t
 }
 
-// Observe records the slot time of a completed request. It must not be called for requests that
+// Observe records the slot time of a completed request. kind is the name of its profile. It must not be called for requests that
 // were refused or failed: a customer could lower its cost with them. A slot time that is not
 // positive is ignored.
-func (t *Table) Observe(customer, serviceName string, slotTime time.Duration) {
+func (t *Table) Observe(customer, serviceName, kind string, slotTime time.Duration) {
 	if slotTime <= 0 {
 		t.ignored.Add(1)
 		return
@@ -80,10 +104,12 @@
 		t.ignored.Add(1)
 		return
 	}
-	s.add(slotTime)
+	took := milliseconds(slotTime)
+	expected := s.add(kind, took)
 	t.update(customer, s, func(e *entry) {
 		e.seen = min(e.seen, customerWindow-1) + 1
-		e.mean = addToMean(e.mean, slotTime, e.seen)
+		e.relative = addToMean(e.relative, min(took/expected, maxRelative), e.seen)
+		e.expected = addToMean(e.expected, expected, e.seen)
 		e.slotTime += slotTime
 	})
 }
@@ -97,9 +123,9 @@
 	t.ignored.Add(1)
 }
 
-// Cost returns the mean slot time of a customer's requests at a service relative to that of all
-// requests there, from MinCost to MaxCost. It is 1 for a customer of which too few responses were
-// seen.
+// Cost returns the slot time of a customer's requests at a service relative to that of all requests
+// there, from MinCost to MaxCost. The part that comes from the kinds of its requests is bounded
+// further. It is 1 for a customer of which too few responses were seen.
 func (t *Table) Cost(customer, serviceName string) float64 {
 	t.mu.RLock()
 	s := t.services[serviceName]
@@ -171,7 +197,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s = t.services[name]; s == nil && len(t.services) < MaxServices {
-		s = &service{name: strings.Clone(name), index: uint8(len(t.services))}
+		s = &service{name: strings.Clone(name), index: uint8(len(t.services)), kinds: make(map[string]*runningMean)}
 		t.services[s.name] = s
 	}
 	return s
@@ -196,7 +222,7 @@
 
 // add adds an entry to a shard, in place of the least recently seen one of the shard if the table is
 // full. It returns none if the table is full and the shard empty.
-func (t *Table) add(shard *shard, hash uint64, customer string, service uint8) int32 {
+func (t *Table) add(shard *shard, hash uint64, customer string, service uint8) index {
 	fresh := entry{customer: strings.Clone(customer), service: service, newer: none, older: none, next: none}
 	if t.count.Add(1) <= MaxEntries {
 		return shard.insert(t.seed, hash, fresh)
--- a/slotshare/table_test.go
+++ b/slotshare/table_test.go
@@ -23,17 +23,17 @@
 	table := NewTable()
 	name := func(i int) string { return "customer" + strconv.Itoa(i) }
 	for i := range MaxEntries {
-		table.Observe(name(i), "deep", ms)
+		table.Observe(name(i), "deep", "read", ms)
 	}
 	size := 0
 	for i := range table.shards {
-		size += cap(table.shards[i].entries)*int(unsafe.Sizeof(entry{})) + cap(table.shards[i].buckets)*4
+		size += cap(table.shards[i].entries)*int(unsafe.Sizeof(entry{})) + cap(table.shards[i].buckets)*int(unsafe.Sizeof(none))
 	}
 	c.Check(size <= 64*MaxEntries, qt.IsTrue, qt.Commentf("%d bytes an entry", size/MaxEntries))
 	newest := name(MaxEntries)
 	shard := &table.shards[table.hash(newest, table.services["deep"])%shardCount]
 	oldest := shard.entries[shard.oldest].customer
-	table.Observe(newest, "deep", 5*ms)
+	table.Observe(newest, "deep", "read", 5*ms)
 	c.Check(table.count.Load(), qt.Equals, int32(MaxEntries))
 	known, evicted := table.Usages()
 	c.Check(known, qt.HasLen, MaxEntries)
@@ -42,7 +42,7 @@
 		c.Assert(u.Customer == oldest, qt.IsFalse)
 	}
 	for range 3 * MaxEntries {
-		table.Observe(name(0), "deep", ms)
+		table.Observe(name(0), "deep", "read", ms)
 	}
 	c.Check(table.count.Load(), qt.Equals, int32(MaxEntries))
 }
@@ -53,10 +53,10 @@
 	c := qt.New(t)
 	table := NewTable()
 	for i := range 100 {
-		table.Observe("light", "deep", 10*ms)
+		table.Observe("light", "deep", "read", 10*ms)
 		if i < minSeen {
 			c.Check(table.Cost("heavy", "deep"), qt.Equals, 1.0)
-			table.Observe("heavy", "deep", 300*ms)
+			table.Observe("heavy", "deep", "read", 300*ms)
 		}
 	}
 	c.Check(table.Cost("heavy", "deep") > 2, qt.IsTrue)
@@ -71,14 +71,14 @@
 	c := qt.New(t)
 	table := NewTable()
 	for range 20 {
-		table.Observe("heavy", "deep", 100*ms)
-		table.Observe("light", "deep", 10*ms)
+		table.Observe("heavy", "deep", "read", 100*ms)
+		table.Observe("light", "deep", "read", 10*ms)
 	}
 	before := table.Cost("heavy", "deep")
 	for range 1000 {
 		table.Refuse("heavy", "deep")
-		table.Observe("heavy", "deep", 0)
-		table.Observe("heavy", "deep", -ms)
+		table.Observe("heavy", "deep", "read", 0)
+		table.Observe("heavy", "deep", "read", -ms)
 	}
 	c.Check(table.Cost("heavy", "deep"), qt.Equals, before)
 	c.Check(table.Ignored(), qt.Equals, uint64(2000))
@@ -90,6 +90,46 @@
 	}
 }
 
+// Guards against a customer that improves its rank with further requests: other kinds of requests, or
+// cheap requests of an expensive kind, must not lower the product of use and cost by more than the
+// bounded part that comes from the kinds.
+func TestFurtherRequestsDoNotImproveTheRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		took := rapid.Float64Range(1, 1000)
+		kindMean := map[string]float64{"read": took.Draw(t, "read"), "long": took.Draw(t, "long")}
+		all := took.Draw(t, "all")
+		count, relative, expected, last := 0.0, 0.0, 0.0, 0.0
+		for range rapid.IntRange(1, 30).Draw(t, "requests") {
+			mean := kindMean[rapid.SampledFrom([]string{"read", "long"}).Draw(t, "kind")]
+			count++
+			relative += took.Draw(t, "took") / mean
+			expected += mean
+			used := count * costOf(relative/count, expected/count, all)
+			if used < last/(maxMix*maxMix)-1e-9 {
+				t.Fatalf("%v after %v", used, last)
+			}
+			last = max(last, used)
+		}
+	})
+}
+
+// Guards against many expensive requests that a few cheap ones of an expensive kind hide.
+func TestCheapRequestsOfAnotherKindHideNothing(t *testing.T) {
+	table := NewTable()
+	for range 100 {
+		for other := range 20 {
+			table.Observe(strconv.Itoa(other), "deep", "read", 10*ms)
+			table.Observe(strconv.Itoa(other), "deep", "long", time.Second)
+		}
+		for range 10 {
+			table.Observe("heavy", "deep", "read", 100*ms)
+		}
+		table.Observe("heavy", "deep", "long", ms)
+	}
+	cost, others := table.Cost("heavy", "deep"), table.Cost("0", "deep")
+	qt.Check(t, cost > 1 && cost > 1.5*others, qt.IsTrue, qt.Commentf("%v, others %v", cost, others))
+}
+
 // Guards against any report or limit that results in a cost out of bounds, in a share that is not a
 // positive number, or in more entries than allowed.
 func TestCostsAndMemoryStayWithinBounds(t *testing.T) {
@@ -103,7 +143,7 @@
 				table.Refuse(customer, service)
 				continue
 			}
-			table.Observe(customer, service, time.Duration(rapid.Int64().Draw(t, "slotTime")))
+			table.Observe(customer, service, "read", time.Duration(rapid.Int64().Draw(t, "slotTime")))
 		}
 		known, evicted := table.Usages()
 		if len(known) != int(table.count.Load()) || len(known) > 6*MaxServices || evicted != 0 {
@@ -130,7 +170,7 @@
 		want := make(map[string]int)
 		for range rapid.IntRange(0, 400).Draw(t, "reports") {
 			customer := strconv.Itoa(rapid.IntRange(0, 99).Draw(t, "customer"))
-			table.Observe(customer, "deep", ms)
+			table.Observe(customer, "deep", "read", ms)
 			want[customer]++
 		}
 		known, evicted := table.Usages()
@@ -157,12 +197,12 @@
 func TestKnownCustomersNeedNoAllocation(t *testing.T) {
 	table := NewTable()
 	for range 10 {
-		table.Observe("a", "deep", ms)
+		table.Observe("a", "deep", "read", ms)
 	}
 	sum := 0.0
 	allocations := testing.AllocsPerRun(1000, func() {
 		sum += Share(0.5, table.Cost("a", "deep"), 3)
-		table.Observe("a", "deep", ms)
+		table.Observe("a", "deep", "read", ms)
 		table.Refuse("a", "deep")
 	})
 	qt.Check(t, allocations, qt.Equals, 0.0)
@@ -178,7 +218,7 @@
 		wg.Go(func() {
 			for i := range reports {
 				customer := strconv.Itoa(i % 50)
-				table.Observe(customer, strconv.Itoa(worker%3), ms)
+				table.Observe(customer, strconv.Itoa(worker%3), "read", ms)
 				table.Cost(customer, "0")
 				if i%500 == 0 {
 					table.Usages()
@@ -252,7 +292,7 @@
 func BenchmarkShare(b *testing.B) {
 	table := NewTable()
 	for i := range MaxEntries {
-		table.Observe(strconv.Itoa(i), "deep", ms)
+		table.Observe(strconv.Itoa(i), "deep", "read", ms)
 	}
 	b.ReportAllocs()
 	names := [...]string{"77", "78"}
