--- a/node/slotshares.go
+++ b/node/slotshares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,6 +19,8 @@
 const (
 	// maxSlotTimeLabels is the number of customers that have a series of their own.
 	maxSlotTimeLabels = 20
+	// costDigits rounds a logged cost to three decimals.
+	costDigits = 1000
 	// slotTimeRest is the label of all other customers.
 	slotTimeRest = "other"
 )
@@ -104,7 +107,7 @@
 		}
 		n.log.Emit(observe.RefusedByShare, observe.Str("service", service), observe.Str("customer", name),
 			observe.Int("refused", refused[slotShareKey{service, name}]), observe.Int("of", total[service]),
-			observe.Float("cost", s.table.Cost(name, service)), observe.Float("weight", weight))
+			observe.Float("cost", math.Round(s.table.Cost(name, service)*costDigits)/costDigits), observe.Float("weight", weight))
 	}
 }
 
