--- a/node/routed_bench_test.go
+++ b/node/routed_bench_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,7 +20,7 @@
 // two nodes with a dialect, without and with their log. The differences are the costs
 // of both hops, of the dialect and of the log.
 func BenchmarkCall(b *testing.B) {
-	upstream := benchUpstream(b)
+	upstream := benchUpstream(b, 0)
 	b.Run("direct", func(b *testing.B) { benchRequests(b, upstream, "desk.example") })
 	b.Run("own interface", func(b *testing.B) {
 		front := benchNodes(b, upstream, func(*Settings) {})
@@ -28,6 +30,12 @@
 		front := benchNodes(b, upstream, usePlainDialect)
 		benchRequests(b, front.Addr(OutboundListener), "desk.example")
 	})
+	// An upstream that takes benchWork keeps the stacks, timers and contexts of many
+	// requests alive, as under load.
+	b.Run("dialect in progress", func(b *testing.B) {
+		front := benchNodes(b, benchUpstream(b, benchWork), usePlainDialect)
+		benchParallel(b, front.Addr(OutboundListener), "desk.example")
+	})
 	b.Run("dialect with log", func(b *testing.B) {
 		lines := observe.NewLineWriter(io.Discard, 0, 0)
 		defer lines.Close(time.Second)
@@ -45,12 +53,19 @@
 
 func usePlainDialect(s *Settings) { s.Edge, s.Dialect = "", plainDialect{} }
 
-func benchUpstream(b *testing.B) string {
+// Load of the benchmark with requests in progress.
+const (
+	benchInProgress = 80
+	benchWork       = 40 * time.Millisecond
+)
+
+func benchUpstream(b *testing.B, work time.Duration) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
 		w.Header().Set("X-Echo", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "answer")
 	})}
@@ -96,24 +111,57 @@
 }
 
 func benchRequests(b *testing.B, addr, host string) {
-	client := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-	}}
-	defer client.CloseIdleConnections()
+	client := benchClient(b, addr)
 	b.ReportAllocs()
-	i := 0
 	for b.Loop() {
-		i++
-		req, _ := http.NewRequest(http.MethodGet, "http://"+host+"/browse/x", nil)
-		req.Header.Set("X-Id", strconv.Itoa(i))
-		resp, err := client.RoundTrip(req)
-		if err != nil {
-			b.Fatal(err)
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			b.Fatal(resp.Status)
+		benchRequest(b, client, host)
+	}
+}
+
+func benchParallel(b *testing.B, addr, host string) {
+	client := benchClient(b, addr)
+	b.ReportAllocs()
+	b.SetParallelism(benchInProgress)
+	before := benchProcessorTime()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			benchRequest(b, client, host)
 		}
+	})
+	b.ReportMetric(float64((benchProcessorTime()-before).Microseconds())/float64(b.N), "cpu-µs/op")
+}
+
+// benchProcessorTime returns the processor time of this process so far.
+func benchProcessorTime() time.Duration {
+	var used syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &used)
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+func benchClient(b *testing.B, addr string) *http.Transport {
+	client := &http.Transport{
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		},
+		MaxIdleConnsPerHost: benchInProgress,
+	}
+	b.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+var benchID atomic.Int64
+
+func benchRequest(b *testing.B, client *http.Transport, host string) {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+host+"/browse/x", nil)
+	req.Header.Set("X-Id", strconv.FormatInt(benchID.Add(1), 10))
+	resp, err := client.RoundTrip(req)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Error(resp.Status)
 	}
 }
