node: send an answer in memory without a flush of its own

The answer of the node beside the upstream, and every refusal, was copied through the stream buffer and flushed after a short read, although it was complete. net/http now sends head and body together when the handler returns; a refusal without a length gets a Content-Length where it was chunked. Flushes a call: 1 before, 0 after.

--- a/node/answer.go
+++ b/node/answer.go
@@ -116,8 +116,16 @@
 	return nil
 }
 
-// stream copies src to w and flushes after each read that doesn't fill the buffer.
+// stream copies src to w and flushes after each read that doesn't fill the buffer. A body
+// in memory is complete, so net/http sends it in one piece with the head when the handler
+// returns.
 func stream(w http.ResponseWriter, src io.Reader) error {
+	if memory, ok := src.(io.WriterTo); ok {
+		if _, err := memory.WriteTo(w); err != nil {
+			return &WriteError{Cause: err}
+		}
+		return nil
+	}
 	buf := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buf)
 	flusher := http.NewResponseController(w)
--- a/node/body.go
+++ b/node/body.go
@@ -111,6 +111,13 @@
 	return count, err
 }
 
+// inMemory reports whether the body of an answer is in memory. Only such bodies write
+// themselves.
+func inMemory(body io.Reader) bool {
+	_, ok := body.(io.WriterTo)
+	return ok
+}
+
 // joinedBody reads from Reader and closes source.
 type joinedBody struct {
 	io.Reader
--- a/node/brownout.go
+++ b/node/brownout.go
@@ -105,7 +105,7 @@
 
 // storeForBrownout returns the body of a. If the profile allows brownouts, the returned
 // body stores a copy of a fresh response while it is streamed.
-func (n *Node) storeForBrownout(req *request, a *answer) readCloser {
+func (n *Node) storeForBrownout(req *request, a *answer) io.ReadCloser {
 	fresh := a.report.Outcome == call.Complete && a.status == http.StatusOK && a.decision == ""
 	if req.profile.Brownout.MaxAge == 0 || !fresh {
 		return a.body
--- a/node/edge.go
+++ b/node/edge.go
@@ -130,7 +130,12 @@
 		cancel()
 		return a
 	}
-	a.body = &cancelBody{readCloser: n.storeForBrownout(req, a), cancel: cancel}
+	a.body = n.storeForBrownout(req, a)
+	if inMemory(a.body) {
+		cancel()
+		return a
+	}
+	a.body = &cancelBody{readCloser: a.body, cancel: cancel}
 	return a
 }
 
