node: strip reserved and hop-by-hop headers in one pass

Each header set was searched for 33 reserved and 9 hop-by-hop names, and the list of the dialect's own names was read again for each. The names are now looked up for the few headers that a message has.

--- a/node/dialect.go
+++ b/node/dialect.go
@@ -17,7 +17,8 @@
 	// ReadCaller reads what a caller states about its request.
 	ReadCaller(h http.Header) (CallerRequest, error)
 	// OwnHeaders returns the canonical names of headers that are never forwarded as
-	// received: those that the dialect sets, and the one with the caller's key.
+	// received: those that the dialect sets, and the one with the caller's key. The node
+	// reads them once.
 	OwnHeaders() []string
 	// ParentOf returns the id of the request that a call with this id is made for, ""
 	// if the id doesn't contain it. It is a hint: a call whose parent isn't found is
@@ -104,10 +105,22 @@
 		stripNodeHeaders(h)
 		return
 	}
+	for name := range h {
+		if _, reserved := n.reservedHeaders[name]; reserved {
+			delete(h, name)
+		}
+	}
+}
+
+// reservedHeadersOf returns the set of the headers in call.NodeHeaders and in the dialect's
+// OwnHeaders.
+func reservedHeadersOf(d Dialect) map[string]struct{} {
+	reserved := make(map[string]struct{})
 	for _, name := range call.NodeHeaders {
-		delete(h, name)
+		reserved[name] = struct{}{}
 	}
-	for _, name := range n.settings.Dialect.OwnHeaders() {
-		delete(h, name)
+	for _, name := range d.OwnHeaders() {
+		reserved[name] = struct{}{}
 	}
+	return reserved
 }
--- a/node/headers.go
+++ b/node/headers.go
@@ -9,10 +9,16 @@
 	"pollengauge.dev/call"
 )
 
-// hopHeaders apply to one connection and are never forwarded (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+// isHopHeader reports whether a header applies to one connection and is never forwarded
+// (RFC 9110, 7.6.1). The name is in canonical form.
+func isHopHeader(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	default:
+		return false
+	}
 }
 
 // copyHeader returns a copy of h without hop-by-hop headers, with capacity for the
@@ -21,21 +27,33 @@
 func copyHeader(h http.Header, extra int) http.Header {
 	out := make(http.Header, len(h)+extra)
 	for name, values := range h {
-		out[name] = slices.Clip(values)
+		if !isHopHeader(name) {
+			out[name] = slices.Clip(values)
+		}
+	}
+	for _, field := range h["Connection"] {
+		deleteNamed(out, field)
 	}
-	stripHop(out)
 	return out
 }
 
 // stripHop removes hop-by-hop headers from h, including those that Connection names.
 func stripHop(h http.Header) {
 	for _, field := range h["Connection"] {
-		for name := range strings.SplitSeq(field, ",") {
-			h.Del(textproto.TrimString(name))
+		deleteNamed(h, field)
+	}
+	// One pass over the few headers of a message is cheaper than a lookup of each name.
+	for name := range h {
+		if isHopHeader(name) {
+			delete(h, name)
 		}
 	}
-	for _, name := range hopHeaders {
-		delete(h, name)
+}
+
+// deleteNamed removes the headers that the value of a Connection header names.
+func deleteNamed(h http.Header, connection string) {
+	for name := range strings.SplitSeq(connection, ",") {
+		h.Del(textproto.TrimString(name))
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,9 @@
 	configuredService string
 	id                string
 	network           Network
+	// reservedHeaders are the headers that stripReservedHeaders removes where a dialect is
+	// used.
+	reservedHeaders map[string]struct{}
 	// peerNetwork is the network to and from other nodes; tls is nil without TLS.
 	peerNetwork Network
 	tls         *secure.Source
@@ -173,6 +176,9 @@
 		changes:           newLoggedState(),
 		conns:             newConnCounts(),
 	}
+	if n.usesDialect() {
+		n.reservedHeaders = reservedHeadersOf(settings.Dialect)
+	}
 	n.adjusted.Store(&Adjustment{DrainTimeout: settings.DrainTimeout, RetryRatio: settings.RetryRatio})
 	n.configSince.Store(n.started.UnixNano())
 	n.id = string(atmostonce.NewIncarnation(rand.Reader))
