--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -65,7 +65,8 @@
 // ends at the deadline, or when the run is aborted after ctx, the context of its caller, has
 // ended.
 func (n *Node) visitContext(ctx context.Context, v *visit) (context.Context, context.CancelFunc) {
-	visitCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), v.deadline)
+	// The run needs no value of ctx.
+	visitCtx, cancel := context.WithDeadline(context.Background(), v.deadline)
 	stop := context.AfterFunc(ctx, func() {
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			n.callerDisconnected(v, cancel)
--- a/node/edge.go
+++ b/node/edge.go
@@ -32,12 +32,13 @@
 		n.answerBadRequest(w, r, err)
 		return
 	}
-	n.serveRoot(w, r, req)
+	n.serveRoot(r.Context(), w, r, req)
 }
 
-// serveRoot runs a root request, writes its answer and returns the answer's report.
-func (n *Node) serveRoot(w http.ResponseWriter, r *http.Request, req *request) call.Report {
-	a := n.answerRoot(r.Context(), req)
+// serveRoot runs a root request within ctx, writes its answer and returns the answer's
+// report.
+func (n *Node) serveRoot(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) call.Report {
+	a := n.answerRoot(ctx, req)
 	defer a.close()
 	return n.writeRoot(w, r, req, a)
 }
@@ -115,7 +116,10 @@
 		}
 		return refused
 	}
-	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	cancel := req.cancel
+	if cancel == nil {
+		ctx, cancel = context.WithDeadline(ctx, req.deadline)
+	}
 	req.tracked.OnInterrupt(cancel)
 	a := n.dispatchRoot(ctx, req)
 	req.tracked.OnInterrupt(nil)
--- a/node/inflight/inflight.go
+++ b/node/inflight/inflight.go
@@ -71,10 +71,10 @@
 	shard    *shard
 	arrived  time.Time
 	listener string
-	id       atomic.Pointer[string]
 	ended    atomic.Bool
 
 	mu sync.Mutex
+	id string
 	// interrupt ends the wait of the request, nil if it does not wait.
 	interrupt func()
 }
@@ -124,17 +124,19 @@
 
 // SetID sets the id of the request, which is known once its header was parsed.
 func (q *Request) SetID(id string) {
-	if q != nil {
-		q.id.Store(&id)
+	if q == nil {
+		return
 	}
+	q.mu.Lock()
+	q.id = id
+	q.mu.Unlock()
 }
 
 // ID returns the id of the request, "" if none is known.
 func (q *Request) ID() string {
-	if id := q.id.Load(); id != nil {
-		return *id
-	}
-	return ""
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.id
 }
 
 // Listener returns the name of the listener that the request was read from.
--- /dev/null
+++ b/node/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package node
+
+const raceAllocations = 0
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -62,7 +62,7 @@
 		n.answerBadRequest(w, r, err)
 		return
 	}
-	n.serveRoot(w, r, req)
+	n.serveRoot(r.Context(), w, r, req)
 }
 
 // serveChild carries a call that visit v makes. It reports the call's outcome to v.end
--- a/node/request.go
+++ b/node/request.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"net/url"
 	"time"
@@ -36,6 +37,9 @@
 	// callerSetID reports whether the caller supplied the request id.
 	callerSetID bool
 	deadline    time.Time
+	// cancel ends the context that the request runs in. It is set if that context already
+	// ends at the deadline, so that the request needs no further one, and nil otherwise.
+	cancel context.CancelFunc
 	// idempotent reports whether running the call twice is harmless.
 	idempotent bool
 	// remaining is how many calls the visit that makes this call still needs,
--- a/node/routed.go
+++ b/node/routed.go
@@ -34,14 +34,15 @@
 			n.writeRefused(w, n.refuse(call.NotRun, call.ReasonVisitClosed, 0), r)
 			return
 		}
-		n.serveRoot(w, r, req)
+		n.serveRoot(r.Context(), w, r, req)
 		return
 	}
 	report := call.Report{Outcome: call.Unknown}
 	defer func() { parent.end(report, n.now()) }()
 	ctx, cancel := n.callContext(r.Context(), parent, req.deadline)
 	defer cancel()
-	report = n.serveRoot(w, r.WithContext(ctx), req)
+	req.cancel = cancel
+	report = n.serveRoot(ctx, w, r, req)
 }
 
 // parentOf finds the visit that an upstream's call is made for. The call inherits from
--- a/node/routed_bench_test.go
+++ b/node/routed_bench_test.go
@@ -59,7 +59,7 @@
 	benchWork       = 40 * time.Millisecond
 )
 
-func benchUpstream(b *testing.B, work time.Duration) string {
+func benchUpstream(b testing.TB, work time.Duration) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -76,7 +76,7 @@
 
 // benchNodes starts a node of the service "front" and one of "desk", and returns the
 // first as soon as it knows the second.
-func benchNodes(b *testing.B, upstream string, adjust func(*Settings)) *Node {
+func benchNodes(b testing.TB, upstream string, adjust func(*Settings)) *Node {
 	set, err := config.Parse([]byte(routedSet), config.YAML)
 	if err != nil {
 		b.Fatal(err)
@@ -152,7 +152,7 @@
 	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
 }
 
-func benchClient(b *testing.B, addr string) *http.Transport {
+func benchClient(b testing.TB, addr string) *http.Transport {
 	client := &http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -165,7 +165,7 @@
 
 var benchID atomic.Int64
 
-func benchRequest(b *testing.B, client *http.Transport, host string) (status int) {
+func benchRequest(b testing.TB, client *http.Transport, host string) (status int) {
 	req, _ := http.NewRequest(http.MethodGet, "http://"+host+"/browse/x", nil)
 	req.Header.Set("X-Id", strconv.FormatInt(benchID.Add(1), 10))
 	resp, err := client.RoundTrip(req)
