node: reuse idle timers and clear a write deadline only before a write

Each wait for a next request created a timer and stopped it when the request came. The timer now stays and is checked when it fires. net/http clears the write deadline after each response, and the guard did so again before the next one; the deadline in force is now cleared only if something is written without a new one.

--- a/node/guard.go
+++ b/node/guard.go
@@ -81,8 +81,6 @@
 			conn.Serve(r)
 			defer conn.Done()
 		}
-		// Clear the write deadline of the previous response on this connection.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 		err := limit.check(r)
 		if err == nil && n.forCallers(listener) {
 			err = n.limitCaller(w, r)
@@ -163,9 +161,15 @@
 	if grace := time.Now().Add(answerGrace); deadline.Before(grace) {
 		deadline = grace
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+	if conn, ok := w.(writeDeadliner); ok {
+		_ = conn.SetWriteDeadline(deadline)
+	}
 }
 
+// writeDeadliner is the part of net/http's ResponseWriter that an http.ResponseController
+// would use. No handler of a node wraps its ResponseWriter.
+type writeDeadliner interface{ SetWriteDeadline(time.Time) error }
+
 const nodeHeaderPrefix = "pollengauge"
 
 // isNodeHeader reports whether a header name is reserved for nodes. Upstreams that read
--- a/node/idleconns.go
+++ b/node/idleconns.go
@@ -33,7 +33,7 @@
 	case http.StateIdle:
 	case http.StateClosed, http.StateHijacked:
 		s.remove(conn)
-		timer.stop()
+		timer.close()
 		return
 	default:
 		timer.stop()
@@ -95,55 +95,82 @@
 }
 
 // idleTimer runs from the end of one request to the start of the next.
+//
+// A stop leaves the timer itself running, and the next start reuses it if it fires soon
+// enough: most connections get their next request long before they expire, and setting a
+// timer twice for each request costs more than one that fires in vain.
 type idleTimer struct {
-	mu     sync.Mutex
-	timer  *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// fires is when the timer fires, zero if it is not set.
+	fires  time.Time
 	expire func()
-	// generation counts starts and stops. A timer that has fired but lost the race
-	// for mu to the next request must not touch that request's connection.
-	generation uint64
+	// expires is when the wait ends, zero if no wait is in progress. A timer that fires
+	// during a later request finds it zero and must not touch that request's connection.
+	expires time.Time
 }
 
 func (t *idleTimer) start(after time.Duration, expire func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.generation++
-	generation := t.generation
 	t.expire = expire
-	if t.timer != nil {
-		t.timer.Stop()
+	t.expires = time.Now().Add(after)
+	if t.fires.IsZero() || t.expires.Before(t.fires) {
+		t.set(after)
 	}
-	t.timer = time.AfterFunc(after, func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.generation == generation {
-			expire()
-		}
-	})
 }
 
-func (t *idleTimer) stop() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.clear()
+// set makes the timer fire after a time. The caller holds t.mu.
+func (t *idleTimer) set(after time.Duration) {
+	t.fires = time.Now().Add(after)
+	if t.timer == nil {
+		t.timer = time.AfterFunc(after, t.fired)
+		return
+	}
+	t.timer.Reset(after)
 }
 
-// expireNow ends the wait at once, if the timer runs.
-func (t *idleTimer) expireNow() {
+// fired ends the wait if its time is over.
+func (t *idleTimer) fired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil {
+	t.fires = time.Time{}
+	if t.expires.IsZero() {
 		return
 	}
-	t.clear()
+	if left := time.Until(t.expires); left > 0 {
+		t.set(left)
+		return
+	}
+	t.expires = time.Time{}
 	t.expire()
 }
 
-// clear stops the timer. The caller holds t.mu.
-func (t *idleTimer) clear() {
-	t.generation++
+// stop ends the wait without a further effect.
+func (t *idleTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expires = time.Time{}
+}
+
+// close releases the timer.
+func (t *idleTimer) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expires, t.fires = time.Time{}, time.Time{}
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
 	}
 }
+
+// expireNow ends the wait at once, if one is in progress.
+func (t *idleTimer) expireNow() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.expires.IsZero() {
+		return
+	}
+	t.expires = time.Time{}
+	t.expire()
+}
--- a/node/reset.go
+++ b/node/reset.go
@@ -19,6 +19,8 @@
 	idle idleTimer
 	// expiring is set from ExpireIdle to the Read that it ends.
 	expiring atomic.Bool
+	// clearWrite is set while the write deadline is to be cleared before the next Write.
+	clearWrite atomic.Bool
 	// peerEnded is set once a Read has failed for good.
 	peerEnded atomic.Bool
 	// closing is set by the first Close. lingering counts the connections of the listener
@@ -48,6 +50,27 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline implements net.Conn. net/http clears the deadline after each response,
+// and the next response sets it again, so it is cleared only if a Write needs that.
+func (c *resetConn) SetWriteDeadline(t time.Time) error {
+	c.clearWrite.Store(t.IsZero())
+	if t.IsZero() {
+		return nil
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// Write implements net.Conn.
+func (c *resetConn) Write(p []byte) (int, error) {
+	if c.clearWrite.Load() {
+		c.clearWrite.Store(false)
+		if err := c.Conn.SetWriteDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(p)
+}
+
 // Read implements net.Conn.
 func (c *resetConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
