node: no table of callers' retries with a dialect

noteCallerRetry recognizes requests by their idempotency key or the request id that the caller set, and a dialect states neither there, so the table of a megabyte was never used.

--- a/node/node.go
+++ b/node/node.go
@@ -69,7 +69,9 @@
 	budgets sync.Map
 	// adjusted holds the settings that can change while the node runs.
 	adjusted atomic.Pointer[Adjustment]
-	repeats  *retry.RepeatDetector
+	// repeats is nil with a dialect: it recognizes requests by what callers state in the
+	// project's own interface. It takes a megabyte.
+	repeats *retry.RepeatDetector
 	// quarantine tracks the requests under which upstreams crash.
 	quarantine *quarantineState
 	// quotas enforces the rate limits of customers.
@@ -231,7 +233,9 @@
 		return err
 	}
 	n.followRetryRatio()
-	n.repeats = retry.NewRepeatDetector(retry.RepeatDetectorConfig{Seed: n.random(), Start: n.started})
+	if !n.usesDialect() {
+		n.repeats = retry.NewRepeatDetector(retry.RepeatDetectorConfig{Seed: n.random(), Start: n.started})
+	}
 	n.quarantine = newQuarantineState()
 	n.quotas = newQuotaState(s.Quota)
 	n.router = routing.NewRouter(routing.Config{
