--- a/node/pipelining/splitter.go
+++ b/node/pipelining/splitter.go
@@ -65,10 +65,12 @@
 // returns the stream offset of the end of r, -1 if that is not known, or not yet.
 func (s *splitter) serve(r *http.Request) int64 {
 	// After a request that ends the connection, net/http reads nothing more.
-	if !s.gaveUp && (endsConnection(r) || !s.finishChunked() || s.skip > 0 || !s.startsWith(r)) {
-		s.giveUp()
+	head := 0
+	if !s.gaveUp && !endsConnection(r) && s.finishChunked() && s.skip == 0 {
+		head = s.headLength(r)
 	}
-	if s.gaveUp {
+	if head == 0 {
+		s.giveUp()
 		return -1
 	}
 	if r.ContentLength < 0 {
@@ -78,15 +80,22 @@
 		}
 		return s.base
 	}
-	s.consume(int64(headEnd(s.pending)) + r.ContentLength)
+	s.consume(int64(head) + r.ContentLength)
 	return s.base
 }
 
-// startsWith reports whether pending starts with the head of r. Empty lines before a
-// request line, which net/http sometimes accepts, are not supported here.
-func (s *splitter) startsWith(r *http.Request) bool {
-	line := r.Method + " " + r.RequestURI + " "
-	return headEnd(s.pending) > 0 && bytes.HasPrefix(s.pending, []byte(line))
+// headLength returns the length of the head of r, with which pending starts, or 0 if it
+// does not start with the complete head of r. Empty lines before a request line, which
+// net/http sometimes accepts, are not supported here.
+func (s *splitter) headLength(r *http.Request) int {
+	line := s.pending
+	for _, part := range [...]string{r.Method, " ", r.RequestURI, " "} {
+		if len(line) < len(part) || string(line[:len(part)]) != part {
+			return 0
+		}
+		line = line[len(part):]
+	}
+	return max(headEnd(s.pending), 0)
 }
 
 // consume accounts for the next n bytes of the stream, whether received or not.
@@ -142,13 +151,19 @@
 // headEnd returns the length of the head at the start of b including its empty line,
 // or -1 if b contains no empty line. Lines end with \n or \r\n, as in net/http.
 func headEnd(b []byte) int {
-	end := -1
-	for _, empty := range []string{"\n\r\n", "\n\n"} {
-		if i := bytes.Index(b, []byte(empty)); i >= 0 && (end < 0 || i+len(empty) < end) {
-			end = i + len(empty)
+	for at := 0; ; {
+		line := bytes.IndexByte(b[at:], '\n')
+		if line < 0 {
+			return -1
+		}
+		at += line + 1
+		switch rest := b[at:]; {
+		case len(rest) >= 1 && rest[0] == '\n':
+			return at + 1
+		case len(rest) >= 2 && rest[0] == '\r' && rest[1] == '\n':
+			return at + 2
 		}
 	}
-	return end
 }
 
 // isPlainHead reports whether net/http is certain to accept a head: it has exactly
