node: one reading of the clock for the end of a run; hop records are not copied

Each hop record read the clock for a start that its caller then replaced, and was copied twice on its way into the ring. The end of a run and of an attempt is read once: ten readings of the clock fewer in a call through two nodes, counted in the code.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -64,14 +64,14 @@
 // to try.
 func (d *dispatchState) attempt(ctx context.Context, attempt int) *answer {
 	n := d.node
-	begin := n.now()
+	start := n.now()
 	picked, err := n.router.PickFor(routing.Call{
 		Service:  d.req.service,
 		Exclude:  d.tried,
 		NoProbe:  !d.req.idempotent,
 		Profile:  routing.ProfileKey(d.req.call.Profile),
-		TimeLeft: d.req.deadline.Sub(begin),
-	}, n.random(), begin)
+		TimeLeft: d.req.deadline.Sub(start),
+	}, n.random(), start)
 	if err != nil {
 		n.log.Emit(observe.NoTarget, observe.Str("of", d.req.service), observe.Err(err))
 		a := n.refuse(call.NotRun, call.ReasonNoTarget, 0)
@@ -80,14 +80,14 @@
 	}
 	target := picked.Target
 	lent := d.lend()
-	start := n.now()
 	req := *d.req
 	req.call.Repeat = d.req.call.Repeat || d.reached
 	req.call.Ends = max(req.call.Ends, d.ends)
 	req.span = d.req.span.child()
 	a := n.attempt(ctx, target, &req, lent)
-	took := n.now().Sub(start)
-	picked.Done(routingFeedback(a, d.req.service, took), n.now())
+	ended := n.now()
+	took := ended.Sub(start)
+	picked.Done(routingFeedback(a, d.req.service, took), ended)
 	if a.reported || a.report.Outcome != call.Unknown {
 		d.returnCredit(lent, a.report.CreditLeft)
 	}
@@ -203,8 +203,7 @@
 }
 
 func (n *Node) recordAttempt(req *request, a *answer, attempt, lent int, start time.Time, took time.Duration) {
-	hop := n.hop(req, observe.Attempt)
-	hop.At = start
+	hop := n.hop(req, observe.Attempt, start)
 	hop.Decision = observe.Admitted
 	if a.report.Outcome == call.NotRun {
 		hop.Decision = observe.Refused
@@ -219,5 +218,5 @@
 	hop.CreditIn = lent
 	hop.CreditLeft = a.report.CreditLeft
 	hop.Status = a.status
-	n.record(hop)
+	n.record(&hop)
 }
--- a/node/local.go
+++ b/node/local.go
@@ -38,7 +38,7 @@
 		return n.gateRefusal(req, err, arrived)
 	}
 	v, cancel := n.openVisit(ctx, req, ticket, up.incarnation)
-	run := &localCall{node: n, upstream: up, visit: v, cancel: cancel, request: req, arrived: arrived, started: n.now()}
+	run := &localCall{node: n, upstream: up, visit: v, cancel: cancel, request: req, arrived: arrived, started: v.started}
 	return run.run(up)
 }
 
--- a/node/local_admission.go
+++ b/node/local_admission.go
@@ -48,7 +48,7 @@
 	if refused.Reason == call.ReasonQueueFull {
 		n.log.Emit(observe.QueueFull, observe.Str("profile", req.call.Profile), observe.Str("level", req.call.Level.String()))
 	}
-	n.record(hop)
+	n.record(&hop)
 	a := n.refuse(call.NotRun, refused.Reason, refused.RetryAfter)
 	a.report.HighestAdmitLevel = max(refused.Level, n.gate.AdmitLevel())
 	a.report.CreditLeft = req.call.Credit
@@ -62,9 +62,8 @@
 // refusedHop returns the hop record of a refused call with the state of the gate that
 // refused it.
 func (n *Node) refusedHop(req *request, refused *admission.RefusedError, arrived time.Time) observe.Hop {
-	hop := n.hop(req, observe.Inbound)
-	hop.Took = hop.At.Sub(arrived)
-	hop.At = arrived
+	hop := n.hop(req, observe.Inbound, arrived)
+	hop.Took = n.now().Sub(arrived)
 	if refused.Reason != call.ReasonLevel && refused.Reason != call.ReasonDraining {
 		hop.Waited = hop.Took
 	}
--- a/node/local_finish.go
+++ b/node/local_finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"pollengauge.dev/admission"
 	"pollengauge.dev/call"
@@ -15,7 +16,8 @@
 		return
 	}
 	l.finished = true
-	l.recordWorkTime(outcome, reason, status)
+	now := l.node.now()
+	l.recordWorkTime(outcome, reason, status, now)
 	l.visit.close()
 	l.node.visits.remove(l.visit)
 	if outcome == call.Complete && status < http.StatusInternalServerError {
@@ -25,7 +27,7 @@
 		l.node.abandonRun(l.request, !l.unsent)
 	}
 	if outcome == call.Complete && status < http.StatusBadRequest {
-		l.node.graph.RecordSuccess(l.request.call.Profile, l.visit.completedCalls(), l.node.now())
+		l.node.graph.RecordSuccess(l.request.call.Profile, l.visit.completedCalls(), now)
 	}
 	l.cancel()
 	waited := l.visit.ticket.Waited()
@@ -33,39 +35,38 @@
 	profile.Inbound.Inc(1)
 	profile.QueueWait.Observe(waited)
 	l.visit.ticket.Release(result)
-	l.record(outcome, reason, status)
+	l.record(outcome, reason, status, now)
 }
 
 // record writes the hop record of a finished call.
-func (l *localCall) record(outcome call.Outcome, reason call.Reason, status int) {
+func (l *localCall) record(outcome call.Outcome, reason call.Reason, status int, ended time.Time) {
 	waited := l.visit.ticket.Waited()
 	decision := observe.Admitted
 	if waited > 0 {
 		decision = observe.Delayed
 	}
-	hop := l.node.hop(l.request, observe.Inbound)
-	hop.At = l.arrived
+	hop := l.node.hop(l.request, observe.Inbound, l.arrived)
 	hop.Decision = decision
 	hop.Outcome = outcome
 	hop.Reason = reason
 	hop.Waited = waited
-	hop.Took = l.node.now().Sub(l.started)
+	hop.Took = ended.Sub(l.started)
 	hop.Status = status
 	hop.CreditLeft = l.visit.creditLeft()
 	if reason == call.ReasonUpstreamCrashed {
 		hop.Fingerprint = contentFingerprint(l.request).String()
 	}
-	l.node.record(hop)
+	l.node.record(&hop)
 }
 
 // recordWorkTime records how long the upstream worked on the call. A fast failure
 // says nothing about its speed, so it is ignored. A call that ran into its deadline
 // took at least that long.
-func (l *localCall) recordWorkTime(outcome call.Outcome, reason call.Reason, status int) {
+func (l *localCall) recordWorkTime(outcome call.Outcome, reason call.Reason, status int, ended time.Time) {
 	answered := outcome == call.Complete && status < http.StatusInternalServerError
 	late := outcome == call.Unknown && reason == call.ReasonTimeout
 	if answered || late {
-		l.node.work.Add(l.request.call.Profile, l.visit.worked(l.node.now()))
+		l.node.work.Add(l.request.call.Profile, l.visit.worked(ended))
 	}
 }
 
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -137,11 +137,11 @@
 	n.log.Emit(observe.VisitClosed, observe.Str("called", req.service), observe.Str("request", call.ShortID(req.call.RequestID)))
 	a := n.refuse(call.NotRun, call.ReasonVisitClosed, 0)
 	n.finishRefusal(a, req)
-	hop := n.hop(req, observe.Outbound)
+	hop := n.hop(req, observe.Outbound, n.now())
 	hop.Decision = observe.Refused
 	hop.Reason = call.ReasonVisitClosed
 	hop.Outcome = call.NotRun
-	n.record(hop)
+	n.record(&hop)
 	_ = writeAnswer(w, a)
 }
 
--- a/node/step_record.go
+++ b/node/step_record.go
@@ -10,10 +10,11 @@
 // recordRoot records a root request that has its outcome.
 func (n *Node) recordRoot(req *request, a *answer, start time.Time) {
 	took := n.recordStep(req, a, observe.Root, start)
+	ended := start.Add(took)
 	// A quarantined request is not refused because of the load, so it doesn't count
 	// for retry hints.
 	overloaded := a.report.Outcome == call.NotRun && a.report.Reason != call.ReasonHeld
-	n.offered.note(req.call.Level.Priority(), overloaded, n.now())
+	n.offered.note(req.call.Level.Priority(), overloaded, ended)
 	profile := n.metrics.Profile(req.call.Profile)
 	profile.Call(a.report.Outcome, a.report.Reason)
 	profile.Total.Observe(took)
@@ -25,8 +26,7 @@
 // recordStep writes the hop record of a step with all its attempts, and returns how
 // long the step took.
 func (n *Node) recordStep(req *request, a *answer, kind observe.Kind, start time.Time) time.Duration {
-	hop := n.hop(req, kind)
-	hop.At = start
+	hop := n.hop(req, kind, start)
 	hop.Decision = decisionOf(a)
 	hop.Outcome = a.report.Outcome
 	hop.Reason = a.report.Reason
@@ -37,7 +37,7 @@
 	hop.CreditLeft = a.report.CreditLeft
 	hop.Ended = string(a.retryStop)
 	hop.Status = a.status
-	n.record(hop)
+	n.record(&hop)
 	return hop.Took
 }
 
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -47,9 +47,9 @@
 }
 
 // export passes a hop to the trace collector, if one is configured.
-func (n *Node) export(h observe.Hop) {
+func (n *Node) export(h *observe.Hop) {
 	if n.exporter != nil {
-		n.exporter.Add(h)
+		n.exporter.Add(*h)
 	}
 }
 
--- a/node/trace.go
+++ b/node/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
@@ -26,11 +27,11 @@
 // child starts a child span of s.
 func (s span) child() span { return span{Trace: s.Trace.Child(), parent: s.SpanID} }
 
-// hop returns the hop record of one step of req, with the fields that are known at
-// its start.
-func (n *Node) hop(req *request, kind observe.Kind) observe.Hop {
+// hop returns the hop record of one step of req that began at a time, with the fields that
+// are known at its start.
+func (n *Node) hop(req *request, kind observe.Kind, at time.Time) observe.Hop {
 	return observe.Hop{
-		At:           n.now(),
+		At:           at,
 		RequestID:    call.ShortID(req.call.RequestID),
 		TraceID:      req.span.TraceID,
 		SpanID:       req.span.SpanID,
@@ -54,10 +55,10 @@
 }
 
 // record stores a finished hop for the explain command and passes it to the exporter.
-func (n *Node) record(h observe.Hop) {
-	n.ring.Add(h)
+func (n *Node) record(h *observe.Hop) {
+	n.ring.Add(*h)
 	if n.usesDialect() {
-		n.log.Decide(&h, observe.DefaultDecisionSample)
+		n.log.Decide(h, observe.DefaultDecisionSample)
 	}
 	n.export(h)
 }
