--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,9 @@
 	configuredService string
 	id                string
 	network           Network
+	// reservedHeaders are the headers that stripReservedHeaders removes where a dialect is
+	// used.
+	reservedHeaders map[string]struct{}
 	// peerNetwork is the network to and from other nodes; tls is nil without TLS.
 	peerNetwork Network
 	tls         *secure.Source
@@ -66,7 +69,9 @@
 	budgets sync.Map
 	// adjusted holds the settings that can change while the node runs.
 	adjusted atomic.Pointer[Adjustment]
-	repeats  *retry.RepeatDetector
+	// repeats is nil with a dialect: it recognizes requests by what callers state in the
+	// project's own interface. It takes a megabyte.
+	repeats *retry.RepeatDetector
 	// quarantine tracks the requests under which upstreams crash.
 	quarantine *quarantineState
 	// quotas enforces the rate limits of customers.
@@ -175,6 +180,9 @@
 		changes:           newLoggedState(),
 		conns:             newConnCounts(),
 	}
+	if n.usesDialect() {
+		n.reservedHeaders = reservedHeadersOf(settings.Dialect)
+	}
 	n.adjusted.Store(&Adjustment{DrainTimeout: settings.DrainTimeout, RetryRatio: settings.RetryRatio})
 	n.configSince.Store(n.started.UnixNano())
 	n.id = string(atmostonce.NewIncarnation(rand.Reader))
@@ -227,7 +235,9 @@
 		return err
 	}
 	n.followRetryRatio()
-	n.repeats = retry.NewRepeatDetector(retry.RepeatDetectorConfig{Seed: n.random(), Start: n.started})
+	if !n.usesDialect() {
+		n.repeats = retry.NewRepeatDetector(retry.RepeatDetectorConfig{Seed: n.random(), Start: n.started})
+	}
 	n.quarantine = newQuarantineState()
 	n.quotas = newQuotaState(s.Quota)
 	n.slots = newSlotShares()
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -62,7 +62,7 @@
 		n.answerBadRequest(w, r, err)
 		return
 	}
-	n.serveRoot(w, r, req)
+	n.serveRoot(r.Context(), w, r, req)
 }
 
 // serveChild carries a call that visit v makes. It reports the call's outcome to v.end
@@ -137,11 +137,11 @@
 	n.log.Emit(observe.VisitClosed, observe.Str("called", req.service), observe.Str("request", call.ShortID(req.call.RequestID)))
 	a := n.refuse(call.NotRun, call.ReasonVisitClosed, 0)
 	n.finishRefusal(a, req)
-	hop := n.hop(req, observe.Outbound)
+	hop := n.hop(req, observe.Outbound, n.now())
 	hop.Decision = observe.Refused
 	hop.Reason = call.ReasonVisitClosed
 	hop.Outcome = call.NotRun
-	n.record(hop)
+	n.record(&hop)
 	_ = writeAnswer(w, a)
 }
 
