node: send calls to other nodes over shared connections

Limits for each peer, tracked requests, head limits, body timeouts, panics, hop records and drains apply as before. Other messages between nodes stay HTTP/1.1.

TestRefusedCertificateProvesNotRun closes the shared connections as well, since it needs a new connection after the change of trust.

--- a/bench/hop/network.go
+++ b/bench/hop/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // network is the nodes' TCP network. It counts connections and writes, and can
@@ -80,3 +81,24 @@
 	c.network.writes.Add(1)
 	return c.Conn.Write(p)
 }
+
+// SyscallConn implements syscall.Conn.
+func (c *countingConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &countingRawConn{RawConn: raw, network: c.network}, nil
+}
+
+// countingRawConn counts the writes that are made without the methods of the connection.
+type countingRawConn struct {
+	syscall.RawConn
+	network *network
+}
+
+// Write implements syscall.RawConn.
+func (c *countingRawConn) Write(f func(fd uintptr) bool) error {
+	c.network.writes.Add(1)
+	return c.RawConn.Write(f)
+}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -49,13 +49,18 @@
 func (n *Node) peerRequest(addr string, req *request, lent int, heard call.UpstreamNotice) *http.Request {
 	out := outgoing(addr, req, peerFields)
 	out.Host = req.service
+	n.peerContext(req, lent, heard).Inject(out.Header)
+	setFields(out.Header, field{call.HeaderTraceParent, req.span.String()})
+	return out
+}
+
+// peerContext returns the context of a call to another node.
+func (n *Node) peerContext(req *request, lent int, heard call.UpstreamNotice) call.Context {
 	down := req.call
 	down.Credit = lent
 	down.Timeout = req.deadline.Sub(n.now())
 	down.Upstream = heard
-	down.Inject(out.Header)
-	setFields(out.Header, field{call.HeaderTraceParent, req.span.String()})
-	return out
+	return down
 }
 
 // upstreamFields and peerFields are the usual numbers of headers that the node adds to a
@@ -117,11 +122,20 @@
 		return a
 	}
 	callCtx, cancelCall := withDeadline(ctx, req.deadline)
-	cancel := sync.OnceFunc(func() {
+	release := func() {
 		cancelCall()
 		n.peerLimiter.release(addr)
-	})
+	}
 	heard := n.heardNotices.forCall(addr, n.now())
+	if n.links != nil {
+		if a := n.attemptLink(callCtx, release, addr, req, lent, home, heard); a != nil {
+			if a.reported {
+				n.heardNotices.record(addr, heard, a.report, n.now())
+			}
+			return a
+		}
+	}
+	cancel := sync.OnceFunc(release)
 	out := n.peerRequest(addr, req, lent, heard)
 	if home != "" {
 		out.Header.Set(call.HeaderHome, home)
--- a/node/drain.go
+++ b/node/drain.go
@@ -142,5 +142,10 @@
 			first = err
 		}
 	}
+	if n.linkServer != nil {
+		if err := n.linkServer.Shutdown(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
 	return first
 }
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -96,7 +96,7 @@
 // closes its connection, within the limits set here.
 func (n *Node) serve(name Listener, handler http.Handler, conns int) {
 	server := &http.Server{
-		Handler:           n.guard(name, handler),
+		Handler:           n.upgradeLinks(name, n.guard(name, handler)),
 		ReadHeaderTimeout: readHeaderTimeout,
 		// A sender may announce a body and stall. If no handler reads the body,
 		// net/http itself waits for the rest, and would keep the connection open for
--- a/node/logging.go
+++ b/node/logging.go
@@ -66,9 +66,16 @@
 // consulted. The outcome is then unknown. With a dialect no call has an idempotency key;
 // the header belongs to the caller.
 func (n *Node) answerBadRequest(w http.ResponseWriter, r *http.Request, err error) {
+	a := n.badRequest(r.Header, err)
+	setWriteDeadline(w, n.now())
+	_ = writeAnswer(w, a)
+}
+
+// badRequest returns the answer to a request that can't be accepted.
+func (n *Node) badRequest(header http.Header, err error) *answer {
 	reason := n.logBadRequest(err)
 	outcome := call.NotRun
-	if !n.usesDialect() && r.Header.Get(call.HeaderIdempotencyKey) != "" {
+	if !n.usesDialect() && header.Get(call.HeaderIdempotencyKey) != "" {
 		outcome = call.Unknown
 	}
 	a := n.refuse(outcome, reason, 0)
@@ -80,8 +87,7 @@
 	}
 	a.header.Set("Content-Type", "text/plain; charset=utf-8")
 	a.body = memoryBody([]byte(err.Error() + "\n"))
-	setWriteDeadline(w, n.now())
-	_ = writeAnswer(w, a)
+	return a
 }
 
 // logBadRequest logs and counts a request that can't be accepted, and returns the reason
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"pollengauge.dev/node/inflight"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/peerlink"
 	"pollengauge.dev/retry"
 	"pollengauge.dev/routing"
 	"pollengauge.dev/secure"
@@ -88,8 +89,12 @@
 	heardNotices  *heardNotices
 	// restored has an element if the store has been restored and this node has not yet
 	// stored again what is its own.
-	restored    chan struct{}
-	peers       *http.Transport
+	restored chan struct{}
+	peers    *http.Transport
+	// links and linkServer are the two sides of shared connections with other nodes. Both are
+	// nil if the settings allow HTTP/1.1 only.
+	links       *peerlink.Client
+	linkServer  *peerlink.Server
 	peerLimiter *peerLimiter
 
 	announceMu sync.Mutex
@@ -312,6 +317,7 @@
 		_ = n.gossip.Close()
 	}
 	n.peers.CloseIdleConnections()
+	n.closeLinks()
 	n.witnesses.transport.CloseIdleConnections()
 	if up := n.upstream.Load(); up != nil {
 		up.transport.CloseIdleConnections()
--- a/node/peer.go
+++ b/node/peer.go
@@ -106,11 +106,22 @@
 // assigned, and an id longer than call.MaxShortIDLength is rejected.
 func (n *Node) extract(h http.Header) (call.Context, error) {
 	c, err := call.Extract(h)
-	if err == nil && !n.usesDialect() && len(c.RequestID) > call.MaxShortIDLength {
-		want := "at most " + strconv.Itoa(call.MaxShortIDLength) + " characters"
-		return call.Context{}, &call.HeaderError{Header: call.HeaderRequest, Value: c.RequestID, Want: want}
+	if err != nil {
+		return c, err
+	}
+	if err := n.checkID(c.RequestID); err != nil {
+		return call.Context{}, err
+	}
+	return c, nil
+}
+
+// checkID checks the id of another node's call.
+func (n *Node) checkID(id string) error {
+	if n.usesDialect() || len(id) <= call.MaxShortIDLength {
+		return nil
 	}
-	return c, err
+	want := "at most " + strconv.Itoa(call.MaxShortIDLength) + " characters"
+	return &call.HeaderError{Header: call.HeaderRequest, Value: id, Want: want}
 }
 
 // writePeerRefusal refuses another node's call before its request is read.
--- a/node/settings.go
+++ b/node/settings.go
@@ -55,6 +55,8 @@
 	// all other nodes together; each call takes a connection. Further calls are refused
 	// as not run.
 	PeerConns, PeerCalls int
+	// PeerProtocol is how calls to the upstreams beside other nodes are sent.
+	PeerProtocol PeerProtocol
 	// EdgeConns and PeerInbound bound accepted connections, so that a flood of
 	// connections can't exhaust the node's memory.
 	EdgeConns, PeerInbound int
@@ -170,6 +172,7 @@
 		RetryRatio:     config.DefaultRetryRatio,
 		UpstreamConns:  400,
 		PeerConns:      256,
+		PeerProtocol:   PeerAuto,
 		PeerCalls:      4096,
 		EdgeConns:      10_000,
 		PeerInbound:    10_000,
@@ -210,6 +213,9 @@
 	c.number("upstream-conns", s.UpstreamConns, 1, 100_000)
 	c.number("peer-conns", s.PeerConns, 1, 100_000)
 	c.number("peer-calls", s.PeerCalls, 1, 1_000_000)
+	if s.PeerProtocol != PeerAuto && s.PeerProtocol != PeerHTTP1 && s.PeerProtocol != "" {
+		c.add("peer-protocol", strconv.Quote(string(s.PeerProtocol)), "auto or http1")
+	}
 	c.number("edge-conns", s.EdgeConns, 1, 1_000_000)
 	c.number("peer-inbound", s.PeerInbound, 1, 1_000_000)
 	c.number("max-header-bytes", s.MaxHeaderBytes, 4<<10, 1<<20)
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -92,6 +92,7 @@
 	for listener, open := range n.conns {
 		n.metrics.Connections.With(string(listener)).Update(open.Load())
 	}
+	n.updateLinkMetrics()
 	leftOut, dropped := n.log.LinesLost()
 	setCounter(n.metrics.LogLinesLost.With("left-out"), uint64(leftOut))
 	setCounter(n.metrics.LogLinesLost.With("dropped"), uint64(dropped))
--- a/node/tls.go
+++ b/node/tls.go
@@ -79,6 +79,7 @@
 	n.peers.MaxIdleConns = max(n.settings.PeerCalls/idlePeerDivisor, 1)
 	// A node adds its report to the headers that its upstream may send.
 	n.peers.MaxResponseHeaderBytes = maxResponseHeader + nodeHeaderBytes
+	n.buildLinks()
 	return nil
 }
 
--- a/node/tls_test.go
+++ b/node/tls_test.go
@@ -123,6 +123,7 @@
 		// Gossip continues on connections opened under the old trust, so the target
 		// is still known and the call has to dial.
 		front.peers.CloseIdleConnections()
+		front.links.CloseIdle()
 		f.c.Check(eventLog.has("tls-key-changed"), qt.IsTrue)
 		got := f.ask(front, http.MethodPost, "/file", "X-Operation", "after")
 		f.c.Check(got.outcome, qt.Equals, "not-run")
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -27,6 +27,13 @@
 	CreditReturned   = "returned"
 )
 
+// PeerlinkMetrics are the metrics of the shared connections between nodes, by direction.
+type PeerlinkMetrics struct {
+	Conns, Streams                  Gauges
+	Calls, Bytes, Writes, Malformed Counters
+	Fallbacks                       metrics.Counter
+}
+
 // Metrics holds the metrics of a node. Its fields are families and handles for
 // direct use; the method Profile returns the handles of a profile.
 type Metrics struct {
@@ -47,6 +54,8 @@
 	Members                     Gauges
 	GossipBytes, GossipMessages Counters
 
+	Peerlink PeerlinkMetrics
+
 	// ConfigNewest is the highest known configuration version, in force or not.
 	ConfigVersion, ConfigNewest metrics.Gauge
 
@@ -148,6 +157,15 @@
 	m.Members = m.gauges(membersMetric)
 	m.GossipBytes = m.counters(gossipBytesMetric)
 	m.GossipMessages = m.counters(gossipMessagesMetric)
+	m.Peerlink = PeerlinkMetrics{
+		Conns:     m.gauges(peerlinkConnsMetric),
+		Streams:   m.gauges(peerlinkStreamsMetric),
+		Calls:     m.counters(peerlinkCallsMetric),
+		Bytes:     m.counters(peerlinkBytesMetric),
+		Writes:    m.counters(peerlinkWritesMetric),
+		Malformed: m.counters(peerlinkMalformedMetric),
+		Fallbacks: m.counters(peerlinkFallbacksMetric).With(),
+	}
 	m.ConfigVersion = m.gauges(configVersionMetric).With()
 	m.ConfigNewest = m.gauges(configNewestMetric).With()
 	m.ConfigAge = m.floatGauges(configAgeMetric).With()
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -73,6 +73,17 @@
 	gossipMessagesMetric = defineMetric("pollengauge_gossip_messages_total", CounterKind, unitCount, "Gossip messages sent and received.", "direction")
 )
 
+// Shared connections between nodes.
+var (
+	peerlinkConnsMetric     = defineMetric("pollengauge_peerlink_connections", GaugeKind, unitCount, "Open shared connections with other nodes, by who opened them: outbound are those of this node.", "direction")
+	peerlinkStreamsMetric   = defineMetric("pollengauge_peerlink_streams", GaugeKind, unitCount, "Calls in progress on shared connections.", "direction")
+	peerlinkCallsMetric     = defineMetric("pollengauge_peerlink_calls_total", CounterKind, unitCount, "Calls on shared connections.", "direction")
+	peerlinkBytesMetric     = defineMetric("pollengauge_peerlink_bytes_total", CounterKind, unitBytes, "Bytes of frames, both ways, by who opened the connection.", "direction")
+	peerlinkWritesMetric    = defineMetric("pollengauge_peerlink_writes_total", CounterKind, unitCount, "Writes to shared connections. Fewer than calls where several frames went into one write.", "direction")
+	peerlinkFallbacksMetric = defineMetric("pollengauge_peerlink_fallbacks_total", CounterKind, unitCount, "Times that a node did not accept a shared connection, and HTTP/1.1 was used.")
+	peerlinkMalformedMetric = defineMetric("pollengauge_peerlink_malformed_total", CounterKind, unitCount, "Shared connections that were closed because of a frame that could not be parsed.", "direction")
+)
+
 // Configuration and platform.
 var (
 	configVersionMetric = defineMetric("pollengauge_config_version", GaugeKind, unitCount, "Configuration version in force.")
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -86,6 +86,11 @@
 	m.ServiceLoad.With("registry").Update(0.5)
 	m.Connections.With("outbound").Update(1)
 	m.LogLinesLost.With("dropped").Inc(1)
+	m.Peerlink.Conns.With(DirectionInbound).Update(1)
+	m.Peerlink.Streams.With(DirectionInbound).Update(1)
+	for _, counters := range []Counters{m.Peerlink.Calls, m.Peerlink.Bytes, m.Peerlink.Writes, m.Peerlink.Malformed} {
+		counters.With(DirectionInbound).Inc(1)
+	}
 	m.Malformed.With("gossip").Inc(1)
 	m.UpstreamReported.With("waiting").Update(2)
 	m.Unrouted.With("no-route").Inc(1)
--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -159,7 +159,7 @@
 	}
 	if (best == nil || best.load.Load() >= crowded) && len(p.conns) < maxConns && p.dialing == nil {
 		p.dialing = &dialing{done: make(chan struct{})}
-		go cl.open(addr, p, p.dialing)
+		go cl.connect(addr, p, p.dialing)
 	}
 	switch {
 	case best != nil && best.load.Load() < maxStreams:
@@ -171,8 +171,8 @@
 	}
 }
 
-// open opens a connection to a peer.
-func (cl *Client) open(addr string, p *peer, d *dialing) {
+// connect opens a connection to a peer and reads from it until it ends.
+func (cl *Client) connect(addr string, p *peer, d *dialing) {
 	c, first, err := cl.handshake(addr)
 	cl.mu.Lock()
 	p.dialing = nil
@@ -293,13 +293,25 @@
 // Close ends all connections. The calls in progress end with an unknown fate.
 func (cl *Client) Close() {
 	cl.stop()
+	for _, c := range cl.open() {
+		c.failNow(&ClosedError{})
+	}
+}
+
+// CloseIdle ends the connections without calls.
+func (cl *Client) CloseIdle() {
+	for _, c := range cl.open() {
+		c.closeIdle()
+	}
+}
+
+// open returns the open connections.
+func (cl *Client) open() []*clientConn {
 	cl.mu.Lock()
+	defer cl.mu.Unlock()
 	var open []*clientConn
 	for _, p := range cl.peers {
 		open = append(open, p.conns...)
 	}
-	cl.mu.Unlock()
-	for _, c := range open {
-		c.failNow(&ClosedError{})
-	}
+	return open
 }
--- a/peerlink/clientconn.go
+++ b/peerlink/clientconn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"sync/atomic"
@@ -72,7 +73,7 @@
 		return nil, err
 	}
 	inline := body[:min(len(body), maxInline)]
-	whole := source == nil && len(inline) == len(body)
+	whole := source == nil && len(inline) == len(body) && len(r.Trailer) == 0
 	flags := byte(0)
 	if whole {
 		flags |= flagEnd
@@ -200,7 +201,10 @@
 		s.recycle()
 		return resp, body, nil
 	}
-	return resp, &Body{s: s, ctx: ctx, trailer: &resp.Trailer}, nil
+	if resp.Trailer == nil {
+		resp.Trailer = make(http.Header)
+	}
+	return resp, &Body{s: s, ctx: ctx, trailer: resp.Trailer}, nil
 }
 
 // recycle keeps a call that has ended for reuse. c.mu is held.
@@ -410,10 +414,13 @@
 	// s is nil for a body that came with the head.
 	s       *stream
 	ctx     context.Context
-	trailer *http.Header
+	trailer http.Header
 	done    bool
 }
 
+// Whole reports whether the body came with the head. Such a body needs no Close.
+func (b *Body) Whole() bool { return b.s == nil }
+
 // Read implements io.Reader. A body that breaks off ends with an error other than io.EOF.
 func (b *Body) Read(p []byte) (int, error) {
 	if b.s == nil {
@@ -449,12 +456,7 @@
 	}
 	if err == io.EOF && s.in.trailer != nil && !b.done {
 		b.done = true
-		if *b.trailer == nil {
-			*b.trailer = make(http.Header)
-		}
-		for name, values := range s.in.trailer {
-			(*b.trailer)[name] = values
-		}
+		maps.Copy(b.trailer, s.in.trailer)
 	}
 	return n, err
 }
--- a/peerlink/errors.go
+++ b/peerlink/errors.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"os"
 	"strconv"
 	"time"
 )
@@ -102,5 +103,5 @@
 // Error implements error.
 func (*TimeoutError) Error() string { return "stream deadline reached" }
 
-// Timeout reports that the error is a timeout, as net.Error does.
-func (*TimeoutError) Timeout() bool { return true }
+// Is reports that the error is one of a deadline, as that of a connection is.
+func (*TimeoutError) Is(target error) bool { return target == os.ErrDeadlineExceeded }
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -125,6 +125,9 @@
 	}
 }
 
+// Pair is a header field.
+type Pair struct{ Name, Value string }
+
 // Request is a call on its way to another node.
 type Request struct {
 	Context call.Context
@@ -134,6 +137,11 @@
 	// Service is the service that the call is for.
 	Service string
 	Header  http.Header
+	// Extra are fields that are sent in addition to Header and in place of its fields of the
+	// same names. Omit, if not nil, reports the fields of Header that are not sent. Both
+	// spare the sender a copy of Header.
+	Extra []Pair
+	Omit  func(name string) bool
 	// Trailer has the names of the trailers. Their values are valid at the end of the body.
 	Trailer http.Header
 }
@@ -144,6 +152,8 @@
 	Status  int
 	Header  http.Header
 	Trailer http.Header
+	// Extra is as in Request.
+	Extra []Pair
 }
 
 // appendRequest appends the payload of a request frame without its body. length is the
@@ -158,7 +168,7 @@
 	b = appendString(b, r.Target)
 	b = appendString(b, r.Service)
 	b = binary.AppendUvarint(b, uint64(length+1))
-	if b, err = appendHeads(b, r.Header, r.Trailer); err != nil {
+	if b, err = appendHeads(b, r.Header, r.Extra, r.Omit, r.Trailer); err != nil {
 		return b[:start], err
 	}
 	return b, checkHead(b, start)
@@ -172,7 +182,7 @@
 		return b[:start], &EncodeError{Part: "report", Cause: err}
 	}
 	b = binary.BigEndian.AppendUint16(b, uint16(r.Status))
-	if b, err = appendHeads(b, r.Header, r.Trailer); err != nil {
+	if b, err = appendHeads(b, r.Header, r.Extra, nil, r.Trailer); err != nil {
 		return b[:start], err
 	}
 	return b, checkHead(b, start)
@@ -188,12 +198,12 @@
 }
 
 // appendHeads appends the header and, if there are trailers, their names.
-func appendHeads(b []byte, h, trailer http.Header) ([]byte, error) {
-	b, err := appendFields(b, h, false)
+func appendHeads(b []byte, h http.Header, extra []Pair, omit func(string) bool, trailer http.Header) ([]byte, error) {
+	b, err := appendFields(b, h, extra, omit)
 	if err != nil || len(trailer) == 0 {
 		return b, err
 	}
-	return appendFields(b, trailer, true)
+	return appendNames(b, trailer)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -201,31 +211,65 @@
 }
 
 // appendFields appends a block of pairs: its length (four bytes), the number of pairs and
-// the pairs. With namesOnly there is one pair for each name, and its value is empty.
-func appendFields(b []byte, h http.Header, namesOnly bool) ([]byte, error) {
+// the pairs.
+func appendFields(b []byte, h http.Header, extra []Pair, omit func(string) bool) ([]byte, error) {
 	start := len(b)
 	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0)
 	pairs := 0
 	for name, values := range h {
+		if omit != nil && omit(name) || replaced(extra, name) {
+			continue
+		}
 		if !validName(name) {
 			return b, &EncodeError{Part: "header name"}
 		}
-		if namesOnly {
-			b = append(appendString(b, name), 0)
-			pairs++
-			continue
-		}
 		for _, value := range values {
-			if !validValue(value) {
-				value = valueCleaner.Replace(value)
-			}
-			b = appendString(appendString(b, name), value)
+			b = appendPair(b, name, value)
 			pairs++
 		}
 	}
+	for _, p := range extra {
+		b = appendPair(b, p.Name, p.Value)
+		pairs++
+	}
+	endFields(b, start, pairs)
+	return b, nil
+}
+
+func replaced(extra []Pair, name string) bool {
+	for i := range extra {
+		if extra[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// appendNames appends a block with one pair for each name, whose value is empty.
+func appendNames(b []byte, h http.Header) ([]byte, error) {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0)
+	for name := range h {
+		if !validName(name) {
+			return b, &EncodeError{Part: "trailer name"}
+		}
+		b = appendPair(b, name, "")
+	}
+	endFields(b, start, len(h))
+	return b, nil
+}
+
+func appendPair(b []byte, name, value string) []byte {
+	if !validValue(value) {
+		value = valueCleaner.Replace(value)
+	}
+	return appendString(appendString(b, name), value)
+}
+
+// endFields sets the length and the number of pairs of the block that begins at start.
+func endFields(b []byte, start, pairs int) {
 	binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-4))
 	binary.BigEndian.PutUint32(b[start+4:], uint32(pairs))
-	return b, nil
 }
 
 // valueCleaner replaces what can't occur in a value, as net/http does when it writes one.
--- a/peerlink/outbound.go
+++ b/peerlink/outbound.go
@@ -125,7 +125,7 @@
 		return nil
 	}
 	start := len(o.c.pending)
-	b, err := appendFields(beginFrame(o.c.pending, frameTrailer, o.stream), trailer, false)
+	b, err := appendFields(beginFrame(o.c.pending, frameTrailer, o.stream), trailer, nil, nil)
 	if err != nil || len(b)-start > maxPayload {
 		o.c.pending = b[:start]
 		return &EncodeError{Part: "trailer", Cause: err}
