call: carry the load report of a target in responses between nodes

Report.TargetLoad is the last load report of the upstream beside the responding node, in the header Pollengauge-Target-Load. A value that can't be read or is beyond the limits does not cost the response: the Report then has a TargetLoad that is neither zero nor valid, so the reader can count it.

--- a/call/context.go
+++ b/call/context.go
@@ -99,7 +99,7 @@
 	HeaderRequest, HeaderProfile, HeaderLevel, HeaderTimeout, HeaderCredit, HeaderDepth, HeaderProgress, HeaderHeldBack, HeaderRepeat, HeaderEnds,
 	HeaderVisit, HeaderHome, HeaderHost, HeaderOrigin, HeaderCustomer,
 	HeaderOutcome, HeaderReason, HeaderHop, HeaderWorst, HeaderCreditLeft, HeaderLoad, HeaderRetryAfterMs, HeaderPressure, HeaderWork, HeaderEndsStamp, HeaderStale,
-	HeaderUpstreamInstance, HeaderUpstreamLimit, HeaderUpstreamLeaving,
+	HeaderUpstreamInstance, HeaderUpstreamLimit, HeaderUpstreamLeaving, HeaderTargetLoad,
 }
 
 // PropagatedHeaders are the headers that an upstream copies to its own calls.
@@ -307,6 +307,8 @@
 	EndsStamp uint64
 	// Upstream is what the upstream states about itself at the time of the response.
 	Upstream UpstreamNotice
+	// TargetLoad is the last load report of the responding hop's upstream.
+	TargetLoad TargetLoad
 }
 
 // Inject writes r to the headers of a response.
@@ -333,6 +335,7 @@
 		f.setOptionalNumber(HeaderEndsStamp, int(min(r.EndsStamp, maxCrashesStamp)))
 	}
 	r.Upstream.Inject(h)
+	r.TargetLoad.Inject(h)
 }
 
 // ExtractReport reads the Report of a peer's response. If it returns an error, the
@@ -371,6 +374,7 @@
 	if r.Upstream, err = ExtractUpstreamNotice(h); err != nil {
 		return Report{}, err
 	}
+	r.TargetLoad = targetLoadOf(h)
 	if reason := fieldOf(h, HeaderReason); len(reason) <= maxNameLength {
 		r.Reason = Reason(reason)
 	}
