routing: place calls by the load that targets report

Of two targets that both report their load, the one with the sooner predicted end gets the call; the reports lose their weight with age, and for the rest the costs by this node's own measurements decide, as before. The share of calls that leave a zone follows the zones' reported use. Targets without reports are chosen as before.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -22,6 +22,10 @@
 	// singleTarget is true when the latest call of pickFromTier found only one
 	// usable target, so that slow start had no peer to move calls to.
 	singleTarget bool
+	// spillShare is the share of calls, in thousandths, that leave the zone by the
+	// load reports of the zones. It is used only if spillKnown is set.
+	spillShare int64
+	spillKnown bool
 }
 
 // pickTarget tries the targets in the order of their distance. A call leaves
@@ -42,7 +46,7 @@
 	}
 	var pressure, drawn int64
 	if local != nil {
-		pressure = c.pressure(local, c.singleTarget)
+		pressure = c.leaveChance(local)
 		if drawn = c.randomThousandths(); drawn >= pressure {
 			if faster := c.fasterTarget(local); faster != nil {
 				return faster, false
@@ -55,7 +59,7 @@
 		return near, true
 	}
 	switch {
-	case near != nil && (local == nil || drawn < pressure-c.pressure(near, true)):
+	case near != nil && (local == nil || drawn < c.leaveChanceTo(near, pressure)):
 		return near, false
 	case near != nil && pressure == thousand && c.cheaper(local, near) == near:
 		// All targets are full, so the shorter queue is chosen, wherever it is.
--- a/routing/cost.go
+++ b/routing/cost.go
@@ -28,11 +28,16 @@
 // nodes of a zone leave it together and come back together, which refuses twice
 // as many calls when the whole region is nearly full.
 func (c *choice) pressure(candidate *member, cold bool) int64 {
-	m := candidate.stats
 	over := (c.load(candidate) - int64(c.config.SpillLoad)) * thousand / fullSpillExcess
+	return min(max(over, c.strain(candidate, cold)), thousand)
+}
+
+// strain is the part of the pressure that does not depend on the load.
+func (c *choice) strain(candidate *member, cold bool) int64 {
+	m := candidate.stats
 	refused := m.refused.load(c.at, decayMillis) * thousand / fullSpillRefusedShare
 	failed := m.failed.load(c.at, decayMillis) * thousand / failingShare
-	pressure := max(over, refused, failed)
+	pressure := max(refused, failed)
 	if cold {
 		pressure = max(pressure, thousand-m.slowStartShare(c.at, c.config))
 	}
@@ -46,7 +51,7 @@
 		return b
 	case b == nil:
 		return a
-	case c.cost(b) < replaceCostRatio*c.cost(a):
+	case c.isCheaper(b, a):
 		return b
 	}
 	return a
@@ -72,8 +77,15 @@
 		latency = defaultLatencyMicros
 	}
 	queue := float64(m.inFlight.Load()+1) / float64(slots(candidate))
+	hint := float64(m.load.load(c.at, decayMillis)) / thousand
+	return float64(latency) * queue * (1 + hint) * c.penalty(candidate)
+}
+
+// penalty returns the factor by which recent failures and refusals raise the cost
+// of a target.
+func (c *choice) penalty(candidate *member) float64 {
+	m := candidate.stats
 	failed := float64(m.failed.load(c.at, decayMillis)) / thousand
 	refused := float64(m.refused.load(c.at, decayMillis)) / thousand
-	hint := float64(m.load.load(c.at, decayMillis)) / thousand
-	return float64(latency) * queue * (1 + hint) * (1 + failedWeight*failed + refusedWeight*refused)
+	return 1 + failedWeight*failed + refusedWeight*refused
 }
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -36,6 +36,8 @@
 	// mu is held while a target is ejected, so that counting the ejected
 	// targets and ejecting another one is one atomic step.
 	mu sync.Mutex
+	// spill is the share of calls that leave the zone by load reports.
+	spill zoneSpill
 }
 
 // eject ejects the target, unless more than half of the service would then be
--- a/routing/measure.go
+++ b/routing/measure.go
@@ -43,6 +43,7 @@
 	failed    decayingValue
 	load      decayingValue
 	level     atomic.Int32
+	reported  reportedLoad
 
 	// ejectedUntil, drainedUntil and nextProbe are times in milliseconds.
 	ejectedUntil atomic.Int64
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -10,8 +10,10 @@
 	// Probe is true when the target is ejected and this call probes it.
 	Probe bool
 
-	stats  *targetStats
-	router *Router
+	stats *targetStats
+	// predicted is the predicted latency in microseconds, 0 if there is none.
+	predicted int64
+	router    *Router
 }
 
 // Call describes the call to choose a target for.
@@ -54,13 +56,16 @@
 		profile:    call.Profile,
 		leftMicros: call.TimeLeft.Microseconds(),
 	}
+	c.spillShare, c.spillKnown = s.spill.spillShare(at)
 	candidate, probed := c.pickTarget()
 	if candidate == nil {
 		return Picked{}, &NoTargetError{Service: call.Service, Reason: c.view.noTargetReason(at, &r.config)}
 	}
+	predicted := c.predictedLatency(candidate)
 	candidate.stats.inFlight.Add(1)
+	candidate.stats.reported.sent.Add(1)
 	candidate.stats.beginSlowStart(at)
-	return Picked{Target: candidate.target, Probe: probed, stats: candidate.stats, router: r}, nil
+	return Picked{Target: candidate.target, Probe: probed, stats: candidate.stats, router: r, predicted: predicted}, nil
 }
 
 // Done ends the call's count as in flight and records its result. It returns
@@ -72,6 +77,7 @@
 	m, config := p.stats, &p.router.config
 	at := p.router.recordTime(now)
 	left := m.release()
+	m.reported.store(f.Reported, f.Load, at, &p.router.ignoredLoads)
 	failing := m.addFeedback(f, p.Target.Revision, at, config)
 	switch {
 	case failing:
@@ -79,7 +85,11 @@
 	case p.Probe && f.verdict() == verdictGood && m.recovered(f.Latency, at, config):
 		m.readmit(f, at)
 	}
+	if f.verdict() == verdictGood && !f.Reported.IsZero() {
+		m.reported.compareLatency(f.Latency.Microseconds(), p.predicted, at)
+	}
 	m.service.detectOutliers(at, config)
+	m.service.spill.update(m.service.view.Load(), at)
 	return int(left)
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -20,6 +20,8 @@
 	initial bool
 	// now is the time passed to the latest Pick or Done, in milliseconds.
 	now atomic.Int64
+	// ignoredLoads counts the load reports that were not used.
+	ignoredLoads loadCounts
 }
 
 // NewRouter returns a Router without targets. Settings out of range get their
@@ -146,7 +148,10 @@
 
 func (r *Router) state(v *view, candidate *member, at int64) TargetState {
 	m := candidate.stats
+	reported, belief := m.reported.state(at)
 	return TargetState{
+		Reported: reported,
+		Belief:   belief,
 		Target:   candidate.target,
 		InSubset: v.contains(m),
 		InFlight: int(m.inFlight.Load()),
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -38,6 +38,8 @@
 	}
 	v.otherRegions = highestScored(otherRegions, share, config.Node)
 	v.subset = slices.Concat(v.sameRegion, v.otherRegions)
+	v.zones = zonesOf(v, config)
+	setRelativeWork(v.sameRegion)
 	return v
 }
 
--- a/routing/target.go
+++ b/routing/target.go
@@ -47,6 +47,9 @@
 	Load int
 	// Level is the admission level in force that the target reported.
 	Level call.Level
+	// Reported is the last load report of the target's upstream. The zero value
+	// means that it reported nothing.
+	Reported call.TargetLoad
 }
 
 // verdict is the conclusion about the target itself from a Feedback.
@@ -112,6 +115,11 @@
 	// Ejected is the remaining time of the target's ejection, 0 when it is not
 	// ejected.
 	Ejected time.Duration
+	// Reported is the latest load report of the target's upstream, with its age;
+	// its zero value means that there is none. Belief is whether the report is
+	// used.
+	Reported call.TargetLoad
+	Belief   LoadBelief
 	// Drained is true for a target that drains, according to the member list or
 	// to its own refusal.
 	Drained bool
--- a/routing/view.go
+++ b/routing/view.go
@@ -6,6 +6,9 @@
 type member struct {
 	target Target
 	stats  *targetStats
+	// relativeWork is the work time of the target in relation to its peers, in
+	// thousandths.
+	relativeWork int64
 }
 
 // view is an immutable snapshot of one service. Its lists ownZone, otherZones
@@ -26,6 +29,8 @@
 	// members holds all announced members, for Snapshot and for the reason when
 	// there is no target.
 	members []*member
+	// zones groups the members of this region by zone, the own zone first.
+	zones []zoneMembers
 }
 
 // builtFrom reports whether the view was built from exactly these targets. Most
