node, observe: state the load of an upstream to other nodes and show it

The node beside an upstream states its last load report in its answers to other nodes; the calling node passes it to routing. A report of another instance of the upstream is ignored and counted. The status of a node lists the reported loads of its targets and whether they are believed, and metrics pollengauge_target_load_* count them.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -87,7 +87,9 @@
 	req.span = d.req.span.child()
 	a := n.attempt(ctx, target, &req, lent)
 	took := n.now().Sub(start)
-	picked.Done(routingFeedback(a, d.req.service, took), n.now())
+	feedback := routingFeedback(a, d.req.service, took)
+	feedback.Reported = a.report.TargetLoad
+	picked.Done(feedback, n.now())
 	if a.reported || a.report.Outcome != call.Unknown {
 		d.returnCredit(lent, a.report.CreditLeft)
 	}
--- a/node/keyhome.go
+++ b/node/keyhome.go
@@ -69,6 +69,9 @@
 		return n.recallFate(ctx, req, owner)
 	}
 	a := n.attemptPeer(ctx, member.Addr, req, req.call.Credit, strconv.Itoa(req.ownerHops+1))
+	// The load is that of the owner, and the caller would take it for that of this
+	// node.
+	a.report.TargetLoad = call.TargetLoad{}
 	a.decision = observe.Forwarded
 	a.target = member.ID
 	return a
--- a/node/local.go
+++ b/node/local.go
@@ -183,6 +183,7 @@
 	r.HighestAdmitLevel = max(n.gate.AdmitLevel(), v.worstDownstream())
 	r.CreditLeft = v.creditLeft()
 	r.Load = n.gate.Load()
+	r.TargetLoad = n.targetLoad()
 	if n.usesDialect() {
 		r.Pressure = n.pressureOf(v.call.Profile)
 		r.Work = n.slotTimeOf(v)
--- a/node/local_admission.go
+++ b/node/local_admission.go
@@ -53,6 +53,7 @@
 	a.report.HighestAdmitLevel = max(refused.Level, n.gate.AdmitLevel())
 	a.report.CreditLeft = req.call.Credit
 	a.report.Load = n.gate.Load()
+	a.report.TargetLoad = n.targetLoad()
 	if n.usesDialect() {
 		a.report.Pressure = n.pressureOf(req.call.Profile)
 	}
--- a/node/telemetry.go
+++ b/node/telemetry.go
@@ -96,6 +96,7 @@
 	setCounter(n.metrics.LogLinesLost.With("left-out"), uint64(leftOut))
 	setCounter(n.metrics.LogLinesLost.With("dropped"), uint64(dropped))
 	n.updateUpstreamLoad()
+	n.updateIgnoredLoads()
 	n.updateServiceGauges()
 	n.updateQuarantineGauges()
 	if n.gossip != nil {
@@ -122,11 +123,14 @@
 	for _, service := range services[:min(len(services), maxServiceLabels)] {
 		var load, count int
 		var worst call.Level
+		var beliefs loadBeliefs
 		for _, target := range n.router.Snapshot(service) {
+			beliefs.add(&target)
 			load += target.Load
 			count++
 			worst = max(worst, target.Level)
 		}
+		beliefs.export(n.metrics, service)
 		n.metrics.ServiceLevel.With(service).Update(int64(worst))
 		if count > 0 {
 			n.metrics.ServiceLoad.With(service).Update(float64(load) / float64(count) / loadUnit)
@@ -171,6 +175,7 @@
 		Draining:      n.draining.Load(),
 		NoUpstream:    n.upstream.Load() == nil,
 		Keys:          n.keyCounts(),
+		Targets:       n.targetStatuses(),
 	}
 	for _, p := range n.config.Current().Profiles() {
 		n.metrics.Profile(p.Name).LevelBelow.Update(int64(n.downstreamLevel(p.Name)))
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -152,6 +152,7 @@
 	}
 	if old != nil && old.incarnation != next.incarnation {
 		n.gate.ClearRate()
+		n.reportedLoad.Store(nil)
 	}
 	if old != nil && old.isOtherIncarnation(a) {
 		n.upstreamReplaced(old)
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -75,6 +75,11 @@
 	// RetryBudgetLeft, ServiceLevel and ServiceLoad have one series per service.
 	RetryBudgetLeft, ServiceLevel Gauges
 	ServiceLoad                   FloatGauges
+	// TargetLoadTargets counts the targets of a service by belief in their load reports.
+	TargetLoadTargets Gauges
+	// TargetLoadAge has one series per service, TargetLoadIgnored one per reason.
+	TargetLoadAge     FloatGauges
+	TargetLoadIgnored Counters
 	// Connections has one series per listener.
 	Connections  Gauges
 	LogLinesLost Counters
@@ -140,6 +145,9 @@
 	m.ServiceLevel = m.gauges(serviceLevelMetric)
 	m.ServiceLoad = m.floatGauges(serviceLoadMetric)
 	m.UpstreamReported = m.floatGauges(upstreamReportedMetric)
+	m.TargetLoadTargets = m.gauges(loadTargetsMetric)
+	m.TargetLoadAge = m.floatGauges(loadAgeMetric)
+	m.TargetLoadIgnored = m.counters(loadIgnoredMetric)
 	m.Connections = m.gauges(connectionsMetric)
 	m.LogLinesLost = m.counters(logLinesMetric)
 }
--- a/observe/status.go
+++ b/observe/status.go
@@ -32,6 +32,24 @@
 	// CPU and ResidentBytes are the process's own use.
 	CPU           time.Duration `json:"cpuNs"`
 	ResidentBytes int64         `json:"residentBytes"`
+	// Targets lists the upstreams that the node calls and that report their load.
+	Targets []TargetStatus `json:"targets,omitempty"`
+}
+
+// TargetStatus is the latest load report of one upstream, as the calling node has it.
+type TargetStatus struct {
+	Service string `json:"service"`
+	Node    string `json:"node"`
+	Zone    string `json:"zone"`
+	// Running and Waiting count the requests at the upstream and at its node.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+	// Work is how long work takes, in thousandths of the usual time.
+	Work  int `json:"work"`
+	AgeMs int `json:"ageMs"`
+	// Belief is believed, old or contradicted; only a believed report is used.
+	Belief string `json:"belief"`
 }
 
 // State returns one word on whether the node accepts work: draining, idle (no
