--- a/cmd/pollengauge/internal/cli/status.go
+++ b/cmd/pollengauge/internal/cli/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"pollengauge.dev/call"
 	"pollengauge.dev/node"
 	"pollengauge.dev/observe"
 )
@@ -33,6 +34,7 @@
 
 func newStatusCommand() *cobra.Command {
 	flags := &nodesFlags{}
+	var targets bool
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show each node in one line",
@@ -47,7 +49,7 @@
 				return err
 			}
 			states, err := collectStates(cmd.Context(), addresses, flags.timeout)
-			if printErr := printStates(cmd, states, flags.json); printErr != nil {
+			if printErr := printStates(cmd, states, flags.json, targets); printErr != nil {
 				return printErr
 			}
 			return err
@@ -55,6 +57,7 @@
 	}
 	flags.bind(cmd)
 	flags.bindJSON(cmd)
+	cmd.Flags().BoolVar(&targets, "targets", false, "also show the load that the upstreams report to each node, and whether it is believed")
 	return cmd
 }
 
@@ -91,7 +94,7 @@
 	return &configState{Version: c.Version, ChangeID: c.ChangeID, Hash: c.Hash, Source: c.Source, Heard: c.Heard}
 }
 
-func printStates(cmd *cobra.Command, states []nodeState, asJSON bool) error {
+func printStates(cmd *cobra.Command, states []nodeState, asJSON, targets bool) error {
 	if asJSON {
 		return writeJSON(cmd.OutOrStdout(), states)
 	}
@@ -101,9 +104,37 @@
 	}
 	out := &printer{w: cmd.OutOrStdout()}
 	out.table(rows)
+	if targets {
+		out.printf("\n")
+		out.table(targetRows(states))
+	}
 	return out.result()
 }
 
+var targetHeading = []string{"ADMIN", "SERVICE", "ZONE", "RUNNING/SLOTS", "WAITING", "WORK", "AGE", "BELIEF", "NODE"}
+
+// targetRows returns a row for each load report that a node has of a target.
+func targetRows(states []nodeState) [][]string {
+	rows := [][]string{targetHeading}
+	for _, s := range states {
+		if s.Status == nil {
+			continue
+		}
+		for _, t := range s.Status.Targets {
+			rows = append(rows, []string{
+				s.Address, t.Service, t.Zone,
+				strconv.Itoa(t.Running) + "/" + strconv.Itoa(t.Slots),
+				strconv.Itoa(t.Waiting),
+				strconv.FormatFloat(float64(t.Work)/call.UsualWork, 'f', 2, 64),
+				(time.Duration(t.AgeMs) * time.Millisecond).String(),
+				t.Belief,
+				t.Node,
+			})
+		}
+	}
+	return rows
+}
+
 var stateHeading = []string{
 	"ADMIN", "SERVICE", "ZONE", "REGION", "STATE", "LOAD", "BUSY/LIMIT", "QUEUE", "IN FORCE",
 	"MEMBERS", "RUNNING", "UNKNOWN", "CONFIG", "HASH", "FROM", "NODE",
