--- a/routing/distrust.go
+++ b/routing/distrust.go
@@ -11,8 +11,8 @@
 	latencyRatioCap = 4 * thousand
 	// latencyRatioDivisor is the divisor of the moving average of the ratio. With
 	// it, a target that takes three times as long as predicted is found after 11
-	// calls; with 8, a service in which one call in seven is long would be found
-	// by chance.
+	// calls, and long calls of targets that announce no work times seldom reach
+	// the bound by chance.
 	latencyRatioDivisor = 16
 	// retriedLatencyRatio is the mean ratio with which a target is believed again.
 	// It is above the usual one, so that further false reports are found sooner.
@@ -20,15 +20,20 @@
 )
 
 // predictedLatency returns the latency in microseconds that a call should have
-// at a target that reports a free slot, 0 if there is no prediction. It is based
-// on the median latency of the targets, which contains the time in which
-// upstreams wait for their own calls; the work times don't.
+// at a target that reports a free slot, 0 if there is no prediction. It is the
+// higher of two: the median latency of the targets, which contains the time in
+// which upstreams wait for their own calls, and the work time of the profile,
+// without which a few long calls would contradict the reports of any target.
 func (c *choice) predictedLatency(candidate *member) int64 {
 	l := candidate.stats.reported.load(c.at)
 	if l.weight == 0 || l.used >= l.slots {
 		return 0
 	}
-	return c.typical * candidate.relativeWork / thousand * max(l.work, thousand) / thousand
+	if c.typical == 0 {
+		return 0
+	}
+	usual := max(c.typical*candidate.relativeWork/thousand, candidate.target.WorkTimes.forProfile(c.profile))
+	return usual * max(l.work, thousand) / thousand
 }
 
 // compareLatency compares the latency of a call to the prediction. If on average
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -16,9 +16,12 @@
 //	// send the call to picked.Target
 //	picked.Done(routing.Feedback{Outcome: outcome, Reason: reason, Latency: took}, now)
 //
-// The load and the admission level that targets report are hints: they can turn
-// calls away from a target, but never towards a target that this node measures
-// as worse.
+// Of two targets whose upstreams report their load (Feedback.Reported), the one
+// with the sooner predicted end is taken, and the zones' reported use decides how
+// many calls leave the zone. Reports lose their weight within half a second, and
+// those that this node's own calls contradict have none. Everything else that
+// targets report, Feedback.Load and Feedback.Level, can turn calls away from a
+// target, but never towards a target that this node measures as worse.
 //
 // All methods may be called concurrently. Pick takes no lock and allocates
 // nothing. Done locks only the state of its target, and of its service while it
