--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -87,7 +87,9 @@
 	a := n.attempt(ctx, target, &req, lent)
 	ended := n.now()
 	took := ended.Sub(start)
-	picked.Done(routingFeedback(a, d.req.service, took), ended)
+	feedback := routingFeedback(a, d.req.service, took)
+	feedback.Reported = a.report.TargetLoad
+	picked.Done(feedback, ended)
 	if a.reported || a.report.Outcome != call.Unknown {
 		d.returnCredit(lent, a.report.CreditLeft)
 	}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -22,11 +22,16 @@
 	// singleTarget is true when the latest call of pickFromTier found only one
 	// usable target, so that slow start had no peer to move calls to.
 	singleTarget bool
+	// spillShare is the share of calls, in thousandths, that leave the zone by the
+	// load reports of the zones. It is used only if spillKnown is set.
+	spillShare int64
+	spillKnown bool
 }
 
 // pickTarget tries the targets in the order of their distance. A call leaves
 // the zone with a probability equal to the pressure on the zone's candidate
-// minus the pressure on the region's candidate, or for a much faster target. It
+// minus the pressure on the region's candidate, or for a much faster target. If
+// the targets report their load, leaveChance and leaves decide instead. It
 // leaves the region only when the region has no usable target. When all targets
 // are ejected, pickTarget takes an ejected one rather than none.
 //
@@ -42,7 +47,7 @@
 	}
 	var pressure, drawn int64
 	if local != nil {
-		pressure = c.pressure(local, c.singleTarget)
+		pressure = c.leaveChance(local)
 		if drawn = c.randomThousandths(); drawn >= pressure {
 			if faster := c.fasterTarget(local); faster != nil {
 				return faster, false
@@ -55,9 +60,9 @@
 		return near, true
 	}
 	switch {
-	case near != nil && (local == nil || drawn < pressure-c.pressure(near, true)):
+	case near != nil && (local == nil || c.leaves(local, near, drawn, pressure)):
 		return near, false
-	case near != nil && pressure == thousand && c.cheaper(local, near) == near:
+	case near != nil && !c.spillKnown && pressure == thousand && c.cheaper(local, near) == near:
 		// All targets are full, so the shorter queue is chosen, wherever it is.
 		return near, false
 	case local != nil:
