--- a/call/wire.go
+++ b/call/wire.go
@@ -16,7 +16,7 @@
 	wireHead = 3
 	// contextFixed and reportFixed are the sizes of the fixed parts, in bytes.
 	contextFixed = 2 + 4 + 1 + 1 + 1 + 2 + 1 + 1 + 8
-	reportFixed  = 1 + 2 + 1 + 4 + 2 + 4 + 1 + 4 + 1 + 8
+	reportFixed  = 1 + 2 + 1 + 4 + 2 + 4 + 1 + 4 + 1 + 8 + targetLoadFigures*4
 	// maxWireBlock is the longest block, in bytes.
 	maxWireBlock = math.MaxUint16
 )
@@ -133,12 +133,33 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(min(r.EndsStamp, maxCrashesStamp)))
 	b = append(b, wireFlags(false, r.Upstream))
 	b = binary.BigEndian.AppendUint64(b, math.Float64bits(r.Upstream.Limit))
+	b = r.TargetLoad.appendWire(b)
 	b = appendWireString(b, wireName(string(r.Reason)))
 	b = appendWireString(b, wireName(r.Hop))
 	b = appendWireString(b, r.Upstream.Instance)
 	return endWireBlock(b, start)
 }
 
+// appendWire appends five numbers of four bytes, all 0 if l is not valid.
+func (l TargetLoad) appendWire(b []byte) []byte {
+	if !l.Valid() {
+		l = TargetLoad{}
+	}
+	for _, figure := range [targetLoadFigures]int{l.Running, l.Waiting, l.Slots, l.Work, l.Age} {
+		b = binary.BigEndian.AppendUint32(b, uint32(figure))
+	}
+	return b
+}
+
+// targetLoad reads a TargetLoad. As in a header, a malformed one doesn't cost the response.
+func (r *wireReader) targetLoad() TargetLoad {
+	l := TargetLoad{Running: int(r.uint32()), Waiting: int(r.uint32()), Slots: int(r.uint32()), Work: int(r.uint32()), Age: int(r.uint32())}
+	if !l.IsZero() && !l.Valid() {
+		return malformedTargetLoad
+	}
+	return l
+}
+
 // wireName returns a name, or "" if it is too long.
 func wireName(name string) string {
 	if len(name) > maxNameLength {
@@ -165,6 +186,7 @@
 		EndsStamp:         uint64(w.uint32()),
 	}
 	w.notice(&r.Upstream)
+	r.TargetLoad = w.targetLoad()
 	var reason string
 	w.strings(&reason, &r.Hop, &r.Upstream.Instance)
 	r.Reason = Reason(reason)
--- a/call/wire_test.go
+++ b/call/wire_test.go
@@ -122,6 +122,9 @@
 		var r Report
 		if _, err := r.ReadWire(b); err == nil {
 			again, err := r.AppendWire(nil)
+			if r.TargetLoad == malformedTargetLoad {
+				r.TargetLoad = TargetLoad{} // marked for the reader, and not sent on
+			}
 			var same Report
 			if err == nil {
 				_, err = same.ReadWire(again)
