--- a/routing/reportedload_test.go
+++ b/routing/reportedload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 )
 
 // loadedRouter returns a router in zone a that knows two targets with 10 slots
-// in its zone. Each has answered once, in 20 ms.
+// in its zone. Each has answered once, t1 in 20 ms and t2 in 60 ms.
 func loadedRouter(c *qt.C) (*Router, time.Time) {
 	r := NewRouter(Config{Node: "n", Zone: "a", Region: "hu", Start: start})
 	targets := []Target{target("t1", "a"), target("t2", "a")}
@@ -21,8 +22,8 @@
 	return r, now
 }
 
-// reportTo makes calls until one reaches the target, which answers with the
-// report.
+// reportTo makes a call to the target, which answers with the report in 20 ms.
+// Without a report, t2 takes 60 ms.
 func reportTo(c *qt.C, r *Router, id string, l call.TargetLoad, now time.Time) {
 	var others []string
 	for _, state := range r.Snapshot("filing") {
@@ -34,6 +35,9 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(picked.Target.ID, qt.Equals, id)
 	f := good(20 * time.Millisecond)
+	if l.IsZero() && id == "t2" {
+		f.Latency *= 3
+	}
 	f.Reported = l
 	picked.Done(f, now)
 }
@@ -63,11 +67,11 @@
 	c := qt.New(t)
 	r, now := loadedRouter(c)
 	reportTo(c, r, "t1", busyLoad, now)
-	c.Check(picksOf(c, r, now)["t1"] > 70, qt.IsTrue, qt.Commentf("t2 reports nothing"))
+	c.Check(picksOf(c, r, now)["t1"], qt.Equals, 200, qt.Commentf("t2 reports nothing"))
 	reportTo(c, r, "t2", idleLoad, now)
 	c.Check(picksOf(c, r, now)["t1"], qt.Equals, 0)
 	late := now.Add(maxReportMillis * time.Millisecond)
-	c.Check(picksOf(c, r, late)["t1"] > 70, qt.IsTrue)
+	c.Check(picksOf(c, r, late)["t1"], qt.Equals, 200)
 	c.Check(r.Snapshot("filing")[0].Belief, qt.Equals, LoadStale)
 }
 
@@ -220,3 +224,27 @@
 		picked.stats.reported.sent.Store(0)
 	}
 }
+
+// Guards against a data race of concurrent calls on the reports of a target (with
+// -race), and against a report that is made up of two by different targets.
+func TestConcurrentCallsShareTheReports(t *testing.T) {
+	c := qt.New(t)
+	r, one, now := manyReporting(c)
+	var done sync.WaitGroup
+	for i := range uint64(4) {
+		done.Go(func() {
+			for j := range uint64(2000) {
+				at := now.Add(time.Duration(j) * time.Millisecond)
+				picked, _ := r.PickFor(one, i<<32|j, at)
+				f := good(50 * time.Millisecond)
+				f.Reported = idleLoad
+				picked.Done(f, at)
+				r.Snapshot("filing")
+			}
+		})
+	}
+	done.Wait()
+	for _, state := range r.Snapshot("filing") {
+		c.Check(state.Reported.Slots == 0 || state.Reported.Slots == idleLoad.Slots, qt.IsTrue)
+	}
+}
