--- a/routing/reportedload_test.go
+++ b/routing/reportedload_test.go
@@ -225,8 +225,8 @@
 	}
 }
 
-// Guards against a data race of concurrent calls on the reports of a target (with
-// -race), and against a report that is made up of two by different targets.
+// Guards against a data race of concurrent calls on the reports of a target. It needs
+// -race.
 func TestConcurrentCallsShareTheReports(t *testing.T) {
 	c := qt.New(t)
 	r, one, now := manyReporting(c)
