--- a/node/path_test.go
+++ b/node/path_test.go
@@ -73,6 +73,12 @@
 // only if the filing did not run, complete only with the complete answer. The filing
 // never runs twice.
 func TestCutAtEveryByte(t *testing.T) {
+	for _, protocol := range []PeerProtocol{PeerAuto, PeerHTTP1} {
+		t.Run(string(protocol), func(t *testing.T) { cutAtEveryByte(t, protocol) })
+	}
+}
+
+func cutAtEveryByte(t *testing.T, protocol PeerProtocol) {
 	seen := map[string]int{}
 	for limit := 0; limit < 1100; limit += 13 {
 		inFleet(t, func(f *fleet) {
@@ -91,7 +97,7 @@
 				}
 				w.WriteHeader(resp.StatusCode)
 				_, _ = w.Write(body)
-			})
+			}, func(s *Settings) { s.PeerProtocol = protocol })
 			f.add("deep", "filing", 10, answerOK)
 			f.settle()
 			f.net.SetFilter(func(from, to string) int {
