--- a/spec/check.sh
+++ b/spec/check.sh
@@ -82,6 +82,7 @@
 check holds quarantine liveness 'the same, and one node restarts' -DLIVENESS -DCAUSE -DRESTART
 check holds quota safety 'the sum lent stays below the limit: cuts and a restart'
 check holds departure safety 'no request after a stated departure, restarts, next life'
+check holds peerlink safety 'agreed close: no call lost, not-run true'
 check holds restored safety 'a restored store is followed, no reversion'
 
 # A bound of what is promised: this is known not to hold.
@@ -145,6 +146,9 @@
 for safeguard in STATE INSTANCE DRAIN; do
 	lacks departure safety $safeguard
 done
+for safeguard in LAST STOP VOID TAKEN WAIT LINGER; do
+	lacks peerlink safety $safeguard
+done
 for safeguard in FORGET ERA; do
 	lacks restored safety $safeguard
 done
