node: the test of abandoned calls reads its result without a data race

The handler of the called upstream wrote the time of the cut to a variable that the test read without synchronization; go test -race reported it.

--- a/node/abandoned_test.go
+++ b/node/abandoned_test.go
@@ -64,7 +64,7 @@
 func (f *fleet) abandonDuringCall(work time.Duration, before func(front *Node)) abandonedCall {
 	var result abandonedCall
 	answered := make(chan struct{})
-	var left time.Time
+	cuts := make(chan time.Time, 1)
 	var front *Node
 	edge := f.addRouted("edge", "edge", 10, echo)
 	front = f.addRouted("front", "desk", 10, func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
@@ -75,7 +75,7 @@
 	f.addRouted("back", "stock", 10, func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
 		select {
 		case <-r.Context().Done():
-			result.cut, result.cutAfter = true, time.Since(left)
+			cuts <- time.Now()
 		case <-time.After(work):
 			echo(w, r, nil)
 		}
@@ -91,10 +91,15 @@
 	time.Sleep(50 * time.Millisecond)
 	before(front)
 	time.Sleep(50 * time.Millisecond)
-	left = time.Now()
+	left := time.Now()
 	_ = conn.Close()
 	<-answered
 	time.Sleep(time.Second)
+	select {
+	case at := <-cuts:
+		result.cut, result.cutAfter = true, at.Sub(left)
+	default:
+	}
 	return result
 }
 
