node: the runs at the upstream end with the node

TestEachRequestThatIsCutLeavesALine ended in a deadlock of its bubble in 1 of 15 runs with -race: net/http does not notice that a connection closes while a pipelined request waits on it, so the context of the request before it did not end when the node closed, and its run went on.

--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -19,46 +19,43 @@
 
 // abandonedRuns tracks the runs whose caller no longer waits and that are allowed to finish.
 type abandonedRuns struct {
-	mu     sync.Mutex
-	aborts map[*visit]context.CancelFunc
+	mu   sync.Mutex
+	runs map[*visit]struct{}
 	// closed is set once the node has closed, and no run may finish any more.
 	closed bool
 }
 
-// add tracks a run that abort ends. It returns false if the node has closed.
-func (a *abandonedRuns) add(v *visit, abort context.CancelFunc) bool {
+// add tracks a run. It returns false if the node has closed.
+func (a *abandonedRuns) add(v *visit) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
 		return false
 	}
-	if a.aborts == nil {
-		a.aborts = make(map[*visit]context.CancelFunc)
+	if a.runs == nil {
+		a.runs = make(map[*visit]struct{})
 	}
-	a.aborts[v] = abort
+	a.runs[v] = struct{}{}
 	return true
 }
 
 func (a *abandonedRuns) remove(v *visit) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.aborts, v)
+	delete(a.runs, v)
 }
 
 func (a *abandonedRuns) full() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.aborts) >= maxAbandonedRuns
+	return len(a.runs) >= maxAbandonedRuns
 }
 
-// close aborts all runs and those that lose their caller later.
+// close makes add refuse all further runs.
 func (a *abandonedRuns) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closed = true
-	for _, abort := range a.aborts {
-		abort()
-	}
 }
 
 // visitContext returns the context of a visit and the function that releases it. The context
@@ -67,9 +64,10 @@
 func (n *Node) visitContext(ctx context.Context, v *visit) (context.Context, context.CancelFunc) {
 	// The run needs no value of ctx.
 	visitCtx, cancel := context.WithDeadline(context.Background(), v.deadline)
+	v.abort = cancel
 	stop := context.AfterFunc(ctx, func() {
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			n.callerDisconnected(v, cancel)
+			n.callerDisconnected(v)
 		}
 	})
 	return visitCtx, func() {
@@ -82,7 +80,7 @@
 
 // callerDisconnected decides whether a run without a caller may finish. The upstream can make
 // no further calls for it: they are refused, so the run ends at its next call.
-func (n *Node) callerDisconnected(v *visit, abort context.CancelFunc) {
+func (n *Node) callerDisconnected(v *visit) {
 	v.abandon()
 	verdict := cancellation.Decide(cancellation.Run{
 		Worked:       v.worked(n.now()),
@@ -92,13 +90,13 @@
 		Contended:    !n.gate.HasFreeSlots(),
 		Full:         n.abandoned.full(),
 	})
-	verdict.Finish = verdict.Finish && n.abandoned.add(v, abort)
+	verdict.Finish = verdict.Finish && n.abandoned.add(v)
 	n.metrics.AbandonedRuns.With(verdictLabel(verdict.Finish), string(verdict.Reason)).Inc(1)
 	if verdict.Reason == cancellation.Full {
 		n.log.Emit(observe.AbandonedRunsFull, observe.Int("limit", maxAbandonedRuns))
 	}
 	if !verdict.Finish {
-		abort()
+		v.abort()
 		return
 	}
 	if verdict.Within == 0 {
@@ -106,7 +104,7 @@
 	}
 	overdue := time.AfterFunc(verdict.Within, func() {
 		n.metrics.AbandonedRuns.With(runAborted, runOverdue).Inc(1)
-		abort()
+		v.abort()
 	})
 	context.AfterFunc(v.ctx, func() { overdue.Stop() })
 }
--- a/node/abandoned_test.go
+++ b/node/abandoned_test.go
@@ -163,15 +163,32 @@
 func TestAbandonedRunsAreBounded(t *testing.T) {
 	c := qt.New(t)
 	var runs abandonedRuns
-	aborted := 0
 	for range maxAbandonedRuns {
 		c.Check(runs.full(), qt.IsFalse)
-		c.Check(runs.add(&visit{}, func() { aborted++ }), qt.IsTrue)
+		c.Check(runs.add(&visit{}), qt.IsTrue)
 	}
 	c.Check(runs.full(), qt.IsTrue)
 	runs.close()
-	c.Check(aborted, qt.Equals, maxAbandonedRuns)
-	c.Check(runs.add(&visit{}, func() {}), qt.IsFalse)
+	c.Check(runs.add(&visit{}), qt.IsFalse)
+}
+
+// Guards against a run that outlasts its node: the close of a connection with a pipelined
+// request is not noticed, so the run did not end with its caller's connection.
+func TestRunsEndWithTheirNode(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, func(_ http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
+			<-r.Context().Done()
+		})
+		f.settle()
+		conn := f.sendPipelined(n, "/file/a", "/file/b")
+		defer conn.Close()
+		time.Sleep(time.Second)
+		run, ok := n.visits.find("r0")
+		f.c.Assert(ok, qt.IsTrue)
+		n.Close()
+		f.c.Check(run.ctx.Err(), qt.IsNotNil)
+		time.Sleep(100 * time.Millisecond)
+	})
 }
 
 // Guards against a call of another node that is accepted at the end of a drain and cut when
--- a/node/node.go
+++ b/node/node.go
@@ -325,6 +325,9 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	// The close of a caller's connection is not always noticed: net/http does not read on
+	// while a pipelined request waits for its turn.
+	n.visits.abortAll()
 	n.closeListeners()
 	if n.gossip != nil {
 		_ = n.gossip.Close()
--- a/node/visit.go
+++ b/node/visit.go
@@ -21,8 +21,10 @@
 // the outcome depends on: which downstream calls ran, the retry credit left, and the
 // highest admission level reported from downstream.
 type visit struct {
-	id       string
-	ctx      context.Context
+	id  string
+	ctx context.Context
+	// abort ends the run.
+	abort    context.CancelFunc
 	call     call.Context
 	deadline time.Time
 	started  time.Time
@@ -289,6 +291,20 @@
 	return broken, unbroken
 }
 
+// abortAll ends the runs of all open visits.
+func (vs *visits) abortAll() {
+	for i := range vs.shards {
+		s := &vs.shards[i]
+		s.mu.Lock()
+		for _, v := range s.byID {
+			if v.abort != nil {
+				v.abort()
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 func (vs *visits) remove(v *visit) {
 	s := vs.shard(v.id)
 	s.mu.Lock()
