--- a/slotshare/table.go
+++ b/slotshare/table.go
@@ -19,9 +19,9 @@
 	// minSeen is how many responses of a customer must have been seen for its cost to be used. The
 	// mean of fewer differs too much from that of its next requests.
 	minSeen = 8
-	// customerWindow and serviceWindow are how many responses a mean covers. Work times vary by a
-	// factor of two, so 32 give a customer's mean within about a fifth. The mean of a service is
-	// the reference of all customers and must vary less.
+	// customerWindow and serviceWindow are how many responses a mean covers. If the deviation of
+	// slot times equals their mean, 32 give a customer's mean within about a fifth (1/sqrt(32)). The
+	// means of a service are the reference of all customers and must vary less.
 	customerWindow = 32
 	serviceWindow  = 255
 	// maxSlotTime bounds a single slot time. No request may last longer.
@@ -90,9 +90,9 @@
 	return t
 }
 
-// Observe records the slot time of a completed request. kind is the name of its profile. It must not be called for requests that
-// were refused or failed: a customer could lower its cost with them. A slot time that is not
-// positive is ignored.
+// Observe records the slot time of a completed request. kind is the name of its profile. It must not
+// be called for requests that were refused or failed: a customer could lower its cost with them. A
+// slot time that is not positive is ignored.
 func (t *Table) Observe(customer, serviceName, kind string, slotTime time.Duration) {
 	if slotTime <= 0 {
 		t.ignored.Add(1)
