--- /dev/null
+++ b/bench/hop/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package hop
+
+const raceEnabled = false
--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -66,7 +66,7 @@
 // ended.
 func (n *Node) visitContext(ctx context.Context, v *visit) (context.Context, context.CancelFunc) {
 	visitCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), v.deadline)
-	stop := context.AfterFunc(ctx, func() {
+	stop := afterContext(ctx, func() {
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			n.callerDisconnected(v, cancel)
 		}
--- a/node/context.go
+++ b/node/context.go
@@ -15,6 +15,15 @@
 	return context.WithDeadline(ctx, deadline)
 }
 
+// afterContext is context.AfterFunc, with fewer allocations for a context that has the method
+// itself.
+func afterContext(ctx context.Context, f func()) (stop func() bool) {
+	if own, ok := ctx.(interface{ AfterFunc(func()) func() bool }); ok {
+		return own.AfterFunc(f)
+	}
+	return context.AfterFunc(ctx, f)
+}
+
 // mergeContext returns a context that ends with either parent, and at the deadline,
 // which is also the deadline of b.
 //
