--- a/peerlink/client.go
+++ b/peerlink/client.go
@@ -15,9 +15,9 @@
 	maxConns = 4
 	// crowded is the number of calls on each connection above which a further one is opened.
 	crowded = 16
-	// handshakeTimeout bounds the opening of a connection. A peer without processor time
-	// answers late; a call that waits longer than this had better go to another one.
-	handshakeTimeout = time.Second
+	// handshakeTimeout bounds the opening of a connection, with TLS. A peer without processor
+	// time answers late; a call that waits longer than this had better go to another one.
+	handshakeTimeout = 2 * time.Second
 	// maxHandshake bounds the answer to the upgrade, in bytes.
 	maxHandshake = 64 << 10
 	// fallbackTime is how long HTTP/1.1 is used for a peer that did not accept the upgrade.
--- a/peerlink/link_test.go
+++ b/peerlink/link_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -164,7 +165,7 @@
 			echo(ex)
 		})
 		defer l.close()
-		start := time.Now()
+		start, before := time.Now(), runtime.NumGoroutine()
 		results := make(chan error, 100)
 		for range 100 {
 			go func() {
@@ -172,6 +173,9 @@
 				results <- err
 			}()
 		}
+		time.Sleep(500 * time.Millisecond)
+		// 100 callers, 100 handlers, and for each connection two readers and those of the test.
+		c.Check(runtime.NumGoroutine() <= before+200+4*maxConns, qt.IsTrue, qt.Commentf("%d goroutines", runtime.NumGoroutine()))
 		for range 100 {
 			c.Check(<-results, qt.IsNil)
 		}
@@ -427,3 +431,36 @@
 	t.Logf("%v allocations", allocs)
 	c.Check(allocs <= 24, qt.IsTrue, qt.Commentf("%v allocations", allocs))
 }
+
+// Guards against a shutdown that waits for a peer which is lost, or fails because of it.
+func TestShutdownDoesNotWaitForALostPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := newLink(c, echo)
+		defer l.close()
+		near, far := net.Pipe()
+		go l.server.Serve(far, nil, nil)
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		time.Sleep(time.Second)
+		start := time.Now()
+		c.Check(l.server.Shutdown(t.Context()), qt.IsNil)
+		c.Check(time.Since(start) <= closeGrace+shutdownPoll, qt.IsTrue)
+		c.Check(l.server.Stats().Conns.Load(), qt.Equals, int64(0))
+	})
+}
+
+// Guards against connections of lost machines that stay open for ever at the serving side.
+func TestServerClosesConnectionsOfLostPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := newLink(c, echo)
+		defer l.close()
+		near, far := net.Pipe()
+		go l.server.Serve(far, nil, nil)
+		go func() { _, _ = io.Copy(io.Discard, near) }()
+		time.Sleep(serverIdleTimeout - time.Second)
+		c.Check(l.server.Stats().Conns.Load(), qt.Equals, int64(1))
+		time.Sleep(serverIdleTimeout)
+		c.Check(l.server.Stats().Conns.Load(), qt.Equals, int64(0))
+	})
+}
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -24,6 +24,13 @@
 	// maxHandlers bounds the calls of a connection whose handlers have not returned. A call
 	// that its sender has given up counts here and not in maxStreams.
 	maxHandlers = 4 * maxStreams
+	// serverIdleTimeout is how long a connection without calls stays open at the serving
+	// side. The calling side closes it sooner, unless its machine is lost.
+	serverIdleTimeout = 2 * idleTimeout
+	// closeGrace is how long a server that shuts down waits for its peers to close, once it
+	// has answered all calls; shutdownPoll is the time between two checks.
+	closeGrace   = 300 * time.Millisecond
+	shutdownPoll = 10 * time.Millisecond
 )
 
 // ServerConfig configures a Server.
@@ -49,13 +56,16 @@
 	mu     sync.Mutex
 	conns  map[*serverConn]struct{}
 	closed bool
+	// ended is closed by Close. checking is set while a goroutine checks the connections.
+	ended    chan struct{}
+	checking bool
 	// empty is closed when a server that shuts down has no connection left.
 	empty chan struct{}
 }
 
 // NewServer returns a server without connections.
 func NewServer(cfg ServerConfig) *Server {
-	s := &Server{cfg: cfg, conns: make(map[*serverConn]struct{})}
+	s := &Server{cfg: cfg, conns: make(map[*serverConn]struct{}), ended: make(chan struct{})}
 	s.workers.init(cfg.Handler)
 	return s
 }
@@ -97,6 +107,10 @@
 	}
 	c.init(nc, kernel, &s.stats, c.ended)
 	s.conns[c] = struct{}{}
+	if !s.checking {
+		s.checking = true
+		go s.check()
+	}
 	return true
 }
 
@@ -129,7 +143,8 @@
 }
 
 // Shutdown accepts no further connections and calls, and returns when the calls accepted
-// before have been answered and the peers have closed their connections, or when ctx ends.
+// before have been answered and the peers have closed their connections. The error is that of
+// ctx if it ends before all calls are answered.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.closed = true
@@ -141,11 +156,59 @@
 	}
 	s.mu.Unlock()
 	s.GoAway()
-	select {
-	case <-empty:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	tick := time.NewTicker(shutdownPoll)
+	defer tick.Stop()
+	for idle := time.Duration(0); idle < closeGrace; {
+		select {
+		case <-empty:
+			return nil
+		case <-ctx.Done():
+			if s.stats.Streams.Load() > 0 {
+				return ctx.Err()
+			}
+			idle = closeGrace
+		case <-tick.C:
+			if idle += shutdownPoll; s.stats.Streams.Load() > 0 {
+				idle = 0
+			}
+		}
+	}
+	// What is left belongs to peers that don't answer.
+	s.closeAll()
+	return nil
+}
+
+// check closes the connections that have been idle for too long, until there are none left.
+func (s *Server) check() {
+	tick := time.NewTicker(serverIdleTimeout / 4)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.ended:
+			return
+		case now := <-tick.C:
+			if !s.checkAll(now) {
+				return
+			}
+		}
+	}
+}
+
+// checkAll checks all connections. It returns false if there are none.
+func (s *Server) checkAll(now time.Time) bool {
+	open := s.open()
+	for _, c := range open {
+		c.closeIdle(now)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checking = len(s.conns) > 0
+	return s.checking
+}
+
+func (s *Server) closeAll() {
+	for _, c := range s.open() {
+		c.failNow(&ClosedError{})
 	}
 }
 
@@ -154,10 +217,11 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	for _, c := range s.open() {
-		c.failNow(&ClosedError{})
-	}
-	s.closing.Do(s.workers.close)
+	s.closeAll()
+	s.closing.Do(func() {
+		close(s.ended)
+		s.workers.close()
+	})
 }
 
 // serverConn is the serving side of a connection.
@@ -184,6 +248,14 @@
 	}
 }
 
+func (c *serverConn) closeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.exchanges) == 0 && now.Sub(time.Unix(0, c.lastRead.Load())) >= serverIdleTimeout {
+		c.fail(&ClosedError{})
+	}
+}
+
 func (c *serverConn) goAway() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
