--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -65,7 +65,7 @@
 	// The run needs no value of ctx.
 	visitCtx, cancel := context.WithDeadline(context.Background(), v.deadline)
 	v.abort = cancel
-	stop := context.AfterFunc(ctx, func() {
+	stop := afterContext(ctx, func() {
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			n.callerDisconnected(v)
 		}
