--- a/node/idletimer_test.go
+++ b/node/idletimer_test.go
@@ -23,16 +23,19 @@
 		time.Sleep(4 * time.Second)
 		timer.stop()
 		time.Sleep(8 * time.Second)
+		synctest.Wait()
 		c.Check(expired, qt.HasLen, 0)
 		timer.start(10*time.Second, expire) // from 12 s
 		time.Sleep(3 * time.Second)
 		timer.stop()
 		timer.start(10*time.Second, expire) // from 15 s, on the timer that fires at 22 s
 		time.Sleep(30 * time.Second)
+		synctest.Wait()
 		c.Check(expired, qt.DeepEquals, []time.Duration{25 * time.Second})
 		timer.start(10*time.Second, expire) // from 45 s
 		timer.start(2*time.Second, expire)  // a shorter wait, as a new configuration sets
 		time.Sleep(30 * time.Second)
+		synctest.Wait()
 		c.Check(expired, qt.DeepEquals, []time.Duration{25 * time.Second, 47 * time.Second})
 		timer.start(10*time.Second, expire) // from 75 s
 		timer.expireNow()
