--- a/node/abandoned_test.go
+++ b/node/abandoned_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -26,29 +24,6 @@
   - {name: stock, host: desk.example, pathPrefix: /stock/, profile: lookup, shares: [{service: stock, weight: 1}]}
 `
 
-// callOutside makes a call through the outbound listener of n, as the upstream on its VM
-// does, on a connection of its own that no other request's end closes.
-func (f *fleet) callOutside(n *Node, path, id string) reply {
-	host := f.net.Host("upstream-of-" + n.ID()[:4])
-	transport := &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			return host.Dial(ctx, n.Addr(OutboundListener))
-		},
-	}
-	defer transport.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://desk.example"+path, nil)
-	f.c.Assert(err, qt.IsNil)
-	req.Header.Set("X-Id", id)
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, reason: resp.Header.Get("X-Reason"), body: string(body), header: resp.Header, err: err}
-}
-
 // abandonedCall is what happened to a call whose visit lost its caller while the call ran.
 type abandonedCall struct {
 	reply reply
@@ -68,7 +43,7 @@
 	var front *Node
 	edge := f.addRouted("edge", "edge", 10, echo)
 	front = f.addRouted("front", "desk", 10, func(w http.ResponseWriter, r *http.Request, _ func(string, string, string) (*http.Response, error)) {
-		result.reply = f.callOutside(front, "/stock/x", r.Header.Get("X-Id")+"/1")
+		result.reply = f.askRouted(front, "/stock/x", r.Header.Get("X-Id")+"/1")
 		close(answered)
 		echo(w, r, nil)
 	})
@@ -151,7 +126,7 @@
 		n.visits.addAs(parent, "p")
 		parent.abandon()
 		f.settle()
-		got := f.callOutside(n, "/browse/x", "p/1")
+		got := f.askRouted(n, "/browse/x", "p/1")
 		f.c.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
 		f.c.Check(got.reason, qt.Equals, string(call.ReasonVisitClosed))
 		f.c.Check(f.runs.of("desk", ""), qt.Equals, 0)
