--- a/node/link_test.go
+++ b/node/link_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -135,6 +136,7 @@
 		left := time.Now()
 		_ = conn.Close()
 		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
 		f.c.Check(ended.IsZero(), qt.IsFalse)
 		f.c.Check(ended.Sub(left) <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", ended.Sub(left)))
 		// The connection itself goes on.
@@ -218,6 +220,7 @@
 		time.Sleep(500 * time.Millisecond)
 		f.c.Check(f.askRouted(front, "/file/x", "panic").status, qt.Equals, http.StatusBadGateway)
 		f.c.Check((<-answered).status, qt.Equals, http.StatusOK)
+		synctest.Wait() // the handlers return after their callers have the answers
 		f.c.Check(back.metrics.Panics.Count(), qt.Equals, int64(1))
 		f.c.Check(back.active.Load(), qt.Equals, int64(0))
 		f.c.Check(back.inflight.Counts().Open, qt.Equals, int64(0))
