--- a/bench/hop/hop_test.go
+++ b/bench/hop/hop_test.go
@@ -61,9 +61,9 @@
 // Guards against a call between nodes that costs more allocations or writes again. A call took
 // 305 allocations over HTTP/1.1 between the nodes and takes 219 over a shared connection, 65 of
 // them in the caller and the upstream of this test. The four writes are those of two nodes that
-// pass on a request and an answer each.
+// pass on a request and an answer each; with one call at a time none is shared.
 func TestCostOfACallThroughTwoNodes(t *testing.T) {
-	const calls, maxAllocs, maxWrites = 500, 235, 4.1
+	const calls, maxAllocs, minWrites, maxWrites = 500, 235, 4, 4.1
 	c := qt.New(t)
 	r, err := newRig(t.Context(), 200)
 	c.Assert(err, qt.IsNil)
@@ -82,6 +82,6 @@
 		if !raceEnabled {
 			c.Check(got.Allocs <= maxAllocs, qt.IsTrue, qt.Commentf("%v allocations", got.Allocs))
 		}
-		c.Check(writes <= maxWrites, qt.IsTrue, qt.Commentf("%v writes", writes))
+		c.Check(writes >= minWrites && writes <= maxWrites, qt.IsTrue, qt.Commentf("%v writes", writes))
 	}), qt.IsNil)
 }
