peerlink: a body is never kept in the connection's read buffer

A request frame without a part of the body passed an empty slice of the read buffer on as the body, and the data frames that followed were appended to that buffer. The first part is now copied where it is kept.

--- a/peerlink/clientconn.go
+++ b/peerlink/clientconn.go
@@ -316,9 +316,6 @@
 	if len(body) > maxInline {
 		return &FrameError{Frame: h.typ.String(), Want: "a body of at most 16 KiB"}
 	}
-	if len(body) > 0 {
-		body = append(make([]byte, 0, len(body)), body...)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, err := c.find(h)
--- a/peerlink/inbound.go
+++ b/peerlink/inbound.go
@@ -22,9 +22,13 @@
 	ready chan struct{}
 }
 
-// first sets the part of the body that came with the head.
+// first sets the part of the body that came with the head. It copies the part: an empty part
+// of the connection's read buffer would also let add append to that buffer.
 func (b *inbound) first(part []byte, end bool) {
-	b.buf, b.end, b.credit = part, end, streamWindow
+	b.buf, b.end, b.credit = nil, end, streamWindow
+	if len(part) > 0 {
+		b.buf = append(make([]byte, 0, len(part)), part...)
+	}
 }
 
 // add adds a part that has arrived. It returns false if the peer had no credit for it.
--- a/peerlink/link_test.go
+++ b/peerlink/link_test.go
@@ -464,3 +464,19 @@
 		c.Check(l.server.Stats().Conns.Load(), qt.Equals, int64(0))
 	})
 }
+
+// Guards against a body that is kept in the connection's read buffer, which the next frames
+// overwrite: callers would get, and upstreams would run, requests with other bytes.
+func TestBodyIsKeptOutsideOfTheReadBuffer(t *testing.T) {
+	for _, length := range []int{0, 1} {
+		buffer := []byte("0123456789abcdef")
+		var body inbound
+		body.first(buffer[:length], false)
+		qt.Assert(t, body.add([]byte("request"), true), qt.IsTrue)
+		copy(buffer, "xxxxxxxxxxxxxxxx")
+		got := make([]byte, 16)
+		n, _, err := body.take(got)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(got[:n]), qt.Equals, "0"[:length]+"request")
+	}
+}
--- a/peerlink/server.go
+++ b/peerlink/server.go
@@ -295,9 +295,6 @@
 		return &FrameError{Frame: h.typ.String(), Want: "a body of at most 16 KiB"}
 	}
 	ex := &Exchange{Request: req, Length: length, c: c, id: h.stream}
-	if len(body) > 0 {
-		body = append(make([]byte, 0, len(body)), body...)
-	}
 	ex.in.first(body, h.flags&flagEnd != 0)
 	ex.out = outbound{c: &c.conn, stream: h.stream, credit: streamWindow}
 	return c.accept(h.stream, ex)
