node: a visit has its context before its caller may be found disconnected

The context of a caller that has already ended calls back at once, in a goroutine of its own, which read the visit's context while openVisit set it; it could also have found none. go test -race reported it in TestFaultsThatOutliveThePlay and in the soak. TestCallerDisconnectsBeforeItsRunBegins guards it.

--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -58,23 +58,22 @@
 	a.closed = true
 }
 
-// visitContext returns the context of a visit and the function that releases it. The context
-// ends at the deadline, or when the run is aborted after ctx, the context of its caller, has
-// ended.
-func (n *Node) visitContext(ctx context.Context, v *visit) (context.Context, context.CancelFunc) {
+// startVisitContext sets the context of a visit and returns the function that releases it. The
+// context ends at the deadline, or when the run is aborted after ctx, the context of its caller,
+// has ended, which it may already have.
+func (n *Node) startVisitContext(ctx context.Context, v *visit) (release func()) {
 	// The run needs no value of ctx.
-	visitCtx, cancel := context.WithDeadline(context.Background(), v.deadline)
-	v.abort = cancel
+	v.ctx, v.abort = context.WithDeadline(context.Background(), v.deadline)
 	stop := afterContext(ctx, func() {
 		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			n.callerDisconnected(v)
 		}
 	})
-	return visitCtx, func() {
+	return func() {
 		if !stop() {
 			n.abandoned.remove(v)
 		}
-		cancel()
+		v.abort()
 	}
 }
 
--- a/node/abandoned_test.go
+++ b/node/abandoned_test.go
@@ -193,3 +193,22 @@
 		f.c.Check(n.madeForOpenVisit(made), qt.IsFalse)
 	})
 }
+
+// Guards against a run whose caller has disconnected before the run begins: its visit must have
+// a context by the time that it is decided whether the run may finish.
+func TestCallerDisconnectsBeforeItsRunBegins(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, echo)
+		for range 20 {
+			n.work.Add("read", 10*time.Millisecond)
+		}
+		ctx, cancel := context.WithCancel(f.t.Context())
+		cancel()
+		v := &visit{deadline: n.now().Add(time.Minute), started: n.now(), call: call.Context{Profile: "read"}}
+		release := n.startVisitContext(ctx, v)
+		time.Sleep(time.Second)
+		f.c.Check(v.isAbandoned(), qt.IsTrue)
+		f.c.Check(v.ctx.Err(), qt.IsNotNil)
+		release()
+	})
+}
--- a/node/local.go
+++ b/node/local.go
@@ -53,8 +53,7 @@
 		incarnation: incarnation,
 		request:     req,
 	}
-	var cancel context.CancelFunc
-	v.ctx, cancel = n.visitContext(ctx, v)
+	cancel := n.startVisitContext(ctx, v)
 	if n.usesDialect() {
 		n.visits.addAs(v, req.call.RequestID)
 		n.graph.RecordVisit(req.call.Profile, v.started)
