node: a run that ends as its caller disconnects is not tracked for ever

The end of a run removed it from the runs that may finish, possibly before its caller's end added it; 256 such runs would have made every later one be aborted. A tracked run is now removed when its context ends. TestEndedRunsAreNotTracked fails without it.

--- a/node/abandoned.go
+++ b/node/abandoned.go
@@ -45,12 +45,14 @@
 	delete(a.runs, v)
 }
 
-func (a *abandonedRuns) full() bool {
+func (a *abandonedRuns) count() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.runs) >= maxAbandonedRuns
+	return len(a.runs)
 }
 
+func (a *abandonedRuns) full() bool { return a.count() >= maxAbandonedRuns }
+
 // close makes add refuse all further runs.
 func (a *abandonedRuns) close() {
 	a.mu.Lock()
@@ -70,9 +72,7 @@
 		}
 	})
 	return func() {
-		if !stop() {
-			n.abandoned.remove(v)
-		}
+		stop()
 		v.abort()
 	}
 }
@@ -98,6 +98,8 @@
 		v.abort()
 		return
 	}
+	// The run may have ended already.
+	context.AfterFunc(v.ctx, func() { n.abandoned.remove(v) })
 	if verdict.Within == 0 {
 		return
 	}
--- a/node/abandoned_test.go
+++ b/node/abandoned_test.go
@@ -212,3 +212,20 @@
 		release()
 	})
 }
+
+// Guards against runs that are tracked for ever, until no run may finish any more: a run may
+// end at the moment when its caller disconnects.
+func TestEndedRunsAreNotTracked(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, echo)
+		for range 20 {
+			n.work.Add("read", 10*time.Millisecond)
+		}
+		v := &visit{deadline: n.now().Add(time.Minute), started: n.now(), call: call.Context{Profile: "read"}}
+		release := n.startVisitContext(f.t.Context(), v)
+		release()
+		n.callerDisconnected(v)
+		time.Sleep(time.Millisecond)
+		f.c.Check(n.abandoned.count(), qt.Equals, 0)
+	})
+}
