--- a/bench/hop/hop_test.go
+++ b/bench/hop/hop_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/node"
 )
 
 var (
@@ -68,16 +69,24 @@
 	r, err := newRig(t.Context(), 200)
 	c.Assert(err, qt.IsNil)
 	defer r.close()
+	// How many writes the gossip takes depends on how long the calls take.
+	callWrites := func() int64 {
+		writes := r.network.writes.Load()
+		for _, n := range []*node.Node{r.front, r.deep} {
+			writes -= r.network.counterOf(n.Addr(node.GossipListener)).Load()
+		}
+		return writes
+	}
 	c.Assert(r.inVisits(t.Context(), func(v *visits) {
 		for range 20 {
 			c.Check(r.callOnce(v.next(), r.through()), qt.Equals, "")
 		}
-		before, written := readUsage(), r.network.writes.Load()
+		before, written := readUsage(), callWrites()
 		for range calls {
 			c.Check(r.callOnce(v.next(), r.through()), qt.Equals, "")
 		}
 		got := costOf(before, readUsage(), calls)
-		writes := float64(r.network.writes.Load()-written) / calls
+		writes := float64(callWrites()-written) / calls
 		t.Logf("%.1f allocations, %.2f writes", got.Allocs, writes)
 		if !raceEnabled {
 			c.Check(got.Allocs <= maxAllocs, qt.IsTrue, qt.Commentf("%v allocations", got.Allocs))
--- a/bench/hop/network.go
+++ b/bench/hop/network.go
@@ -18,9 +18,23 @@
 	mu sync.Mutex
 	// open holds the dialed connections by address.
 	open map[string][]net.Conn
+	// writesAt counts the writes on connections to each listener, by its address.
+	writesAt map[string]*atomic.Int64
 }
 
-func newNetwork() *network { return &network{open: make(map[string][]net.Conn)} }
+func newNetwork() *network {
+	return &network{open: make(map[string][]net.Conn), writesAt: make(map[string]*atomic.Int64)}
+}
+
+// counterOf returns the counter of writes on connections to the listener at addr.
+func (n *network) counterOf(addr string) *atomic.Int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.writesAt[addr] == nil {
+		n.writesAt[addr] = new(atomic.Int64)
+	}
+	return n.writesAt[addr]
+}
 
 // Listen implements node.Network.
 func (n *network) Listen(addr string) (net.Listener, error) {
@@ -38,7 +52,7 @@
 		return nil, err
 	}
 	n.dials.Add(1)
-	counting := &countingConn{Conn: conn, network: n}
+	counting := &countingConn{Conn: conn, network: n, writes: n.counterOf(addr)}
 	n.mu.Lock()
 	n.open[addr] = append(n.open[addr], counting)
 	n.mu.Unlock()
@@ -67,18 +81,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn, network: l.network}, nil
+	return &countingConn{Conn: conn, network: l.network, writes: l.network.counterOf(l.Addr().String())}, nil
 }
 
 // countingConn counts writes, each of which is one system call.
 type countingConn struct {
 	net.Conn
 	network *network
+	// writes is the counter of the listener that the connection belongs to.
+	writes *atomic.Int64
+}
+
+func (c *countingConn) count() {
+	c.network.writes.Add(1)
+	c.writes.Add(1)
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
-	c.network.writes.Add(1)
+	c.count()
 	return c.Conn.Write(p)
 }
 
@@ -88,17 +109,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingRawConn{RawConn: raw, network: c.network}, nil
+	return &countingRawConn{RawConn: raw, conn: c}, nil
 }
 
 // countingRawConn counts the writes that are made without the methods of the connection.
 type countingRawConn struct {
 	syscall.RawConn
-	network *network
+	conn *countingConn
 }
 
 // Write implements syscall.RawConn.
 func (c *countingRawConn) Write(f func(fd uintptr) bool) error {
-	c.network.writes.Add(1)
+	c.conn.count()
 	return c.RawConn.Write(f)
 }
