--- a/node/routed_bench_test.go
+++ b/node/routed_bench_test.go
@@ -53,7 +53,7 @@
 
 func usePlainDialect(s *Settings) { s.Edge, s.Dialect = "", plainDialect{} }
 
-// Load of the benchmark with requests in progress.
+// Load of BenchmarkCall/dialect_in_progress.
 const (
 	benchInProgress = 80
 	benchWork       = 40 * time.Millisecond
--- a/routing/zonespill.go
+++ b/routing/zonespill.go
@@ -182,8 +182,8 @@
 //
 // The share by reports takes about a second to follow a change. A target without
 // a free slot therefore also sends calls to a target that has one, by the
-// difference of their pressures. Without this, four targets of one zone that
-// slowed down together for 600 ms made 0.07 % of the calls late or refused.
+// difference of their pressures. Without this, calls come late or
+// are refused while the targets of one zone slow down together.
 func (c *choice) leaves(local, near *member, drawn, pressure int64) bool {
 	if !c.spillKnown {
 		return drawn < pressure-c.pressure(near, true)
