--- a/review/world/cases_test.go
+++ b/review/world/cases_test.go
@@ -124,13 +124,9 @@
 // the crashed incarnation arrives late, after the leave.
 func playLateHeartbeat(w *world) []string {
 	w.configure([]string{"huvo11a", "wuno96b"}, route("r-file", "jepu9.example", "/puka111/", "unsafe", "wuno96b"))
-	crashed, other, own := w.newServer(0, "wuno96b", "i-7f3a91c2"), w.newServer(1, "wuno96b", "i-02d9e6b4"), w.newServer(2, "huvo11a", "i-55aa0b17")
-	for _, s := range []*server{crashed, other, own} {
-		s.work = longWork
-		s.start()
-	}
+	crashed := w.startServers(longWork)
 	w.awaitReady()
-	load := w.startLoad(16, "c", http.MethodPost, "jepu9.example", 5*time.Second, 10*time.Millisecond)
+	load := w.startLoad(48, "c", http.MethodPost, "jepu9.example", 5*time.Second, 10*time.Millisecond)
 	time.Sleep(4 * time.Second)
 	late := crashed.nextSequence()
 	w.rec.note("heartbeat %d of %s is sent and held up", late, crashed.instance)
@@ -159,6 +155,20 @@
 // drainTime returns the time after which a server that leaves gets nothing more.
 func (w *world) drainTime() time.Duration { return sites[w.layout.Site].drain }
 
+// startServers starts a server on each machine, of the machine's service, and returns the first.
+func (w *world) startServers(work time.Duration) *server {
+	var first *server
+	for i, m := range w.layout.Machines {
+		s := w.newServer(i, m.Service, fmt.Sprintf("i-7f3a91c%d", i))
+		s.work = work
+		s.start()
+		if i == 0 {
+			first = s
+		}
+	}
+	return first
+}
+
 // serveOn is how long a server serves after its leave was acknowledged: the drain time and some
 // seconds longer.
 const serveOn = 8 * time.Second
@@ -207,13 +217,9 @@
 // that the server sent before its leave arrives late, at the successor.
 func playForgottenLeave(w *world) []string {
 	w.configure([]string{"huvo11a", "wuno96b"}, route("r-file", "jepu9.example", "/puka111/", "unsafe", "wuno96b"))
-	leaving, other, own := w.newServer(0, "wuno96b", "i-7f3a91c2"), w.newServer(1, "wuno96b", "i-02d9e6b4"), w.newServer(2, "huvo11a", "i-55aa0b17")
-	for _, s := range []*server{leaving, other, own} {
-		s.work = longWork
-		s.start()
-	}
+	leaving := w.startServers(longWork)
 	w.awaitReady()
-	load := w.startLoad(16, "c", http.MethodPost, "jepu9.example", 5*time.Second, 10*time.Millisecond)
+	load := w.startLoad(48, "c", http.MethodPost, "jepu9.example", 5*time.Second, 10*time.Millisecond)
 	time.Sleep(4 * time.Second)
 	w.signalNode(1, syscall.SIGTERM)
 	ended := time.Now().Add(grace)
