--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,8 +1,9 @@
 #!/bin/bash
-# The address of a server that has ended goes to a server of another service.
+# The address of a server that has ended goes to a server of another service. The settings
+# file tells the new service, with SIGHUP, but for WAY=plain.
 HERE="$(cd "$(dirname "$0")" && pwd)"
 . "$HERE/../standins2/common.sh"
-rm -f "$HERE"/.node-*.log
+rm -f "$LOGS"-*.txt
 config
 start "$WORLD" store -addr "$NET.9:8309" -config "$TMP/config.json"
 sleep 0.3
@@ -28,9 +29,11 @@
   note "a server of the same service gets the address" "i-pay-5"
   server 3 pay bp-a i-pay-5 "$NET.3:8306"
 else
-  note "a server of another service gets the address; the settings file tells it" "i-desk-5"
-  settings 3 desk bp-a false
-  kill -HUP "${NODE_PID[3]}"
+  note "a server of another service gets the address" "i-desk-5"
+  if [ "${WAY:-settings}" = settings ]; then
+    settings 3 desk bp-a false
+    kill -HUP "${NODE_PID[3]}"
+  fi
   server 3 desk bp-a i-desk-5 "$NET.3:8306"
 fi
 await_clients
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 # had its leaving acknowledged.
 HERE="$(cd "$(dirname "$0")" && pwd)"
 . "$HERE/../standins2/common.sh"
-rm -f "$HERE"/.node-*.log
+rm -f "$LOGS"-*.txt
 config
 start "$WORLD" store -addr "$NET.9:8309" -config "$TMP/config.json"
 sleep 0.3
--- a/review/standins2/common.sh
+++ b/review/standins2/common.sh
@@ -4,6 +4,7 @@
 WORLD="$ROOT/target/review2/standins2"
 NODE="$ROOT/target/pollengauge"
 RECORD="$HERE/record.txt"
+LOGS="$ROOT/target/review2/log-$(basename "$HERE")" # a node writes LOGS-HOST.txt
 TROUBLE="${TROUBLE:-1}"
 TMP="$(mktemp -d)"
 PIDS=()
@@ -45,7 +46,7 @@
 
 # node HOST: starts the node of a VM with the command of the deploy file.
 node() {
-  ( cd "$ROOT" && POLLENGAUGE_BOOT="$TMP/settings-$1.json" exec "$NODE" sidecar ) >>"$HERE/.node-$1.log" 2>&1 &
+  ( cd "$ROOT" && POLLENGAUGE_BOOT="$TMP/settings-$1.json" exec "$NODE" sidecar ) >>"$LOGS-$1.txt" 2>&1 &
   NODE_PID[$1]=$!
   PIDS+=("${NODE_PID[$1]}")
 }
@@ -57,9 +58,9 @@
   start "$WORLD" server -service "$service" -id "$id" -addr "$NET.$host:8301" -control "$control" -zone "$zone" -record "$RECORD" "$@"
 }
 
-# client HOST ROUTE_HOST PATH METHOD RATE SECONDS: starts a client on a VM.
+# client HOST ROUTE_HOST PATH METHOD RATE SECONDS [TIMEOUT]: starts a client on a VM.
 client() {
-  start "$WORLD" client -outbound "$NET.$1:8304" -vm "vm-$1" -host "$2" -path "$3" -method "$4" -rate "$5" -for "$6s" -record "$RECORD"
+  start "$WORLD" client -outbound "$NET.$1:8304" -vm "vm-$1" -host "$2" -path "$3" -method "$4" -rate "$5" -for "$6s" -timeout "${7:-5s}" -record "$RECORD"
   CLIENTS+=("$STARTED")
 }
 CLIENTS=()
--- a/review/standins2/world_test.go
+++ b/review/standins2/world_test.go
@@ -346,18 +346,20 @@
 type server struct {
 	service, id, addr, control, zone string
 	beats                            time.Duration
-	work                             time.Duration
-	slots                            int
-	record                           recorder
-	running                          atomic.Int64
-	sequence                         atomic.Int64
-	draining                         atomic.Bool
-	silent                           atomic.Bool
+	// born is the start in milliseconds since the Unix epoch.
+	born     int64
+	work     time.Duration
+	slots    int
+	record   recorder
+	running  atomic.Int64
+	sequence atomic.Int64
+	draining atomic.Bool
+	silent   atomic.Bool
 }
 
 func serve(args []string) int {
 	flags := flag.NewFlagSet("server", flag.ExitOnError)
-	s := &server{slots: 50}
+	s := &server{}
 	flags.StringVar(&s.service, "service", "", "service")
 	flags.StringVar(&s.id, "id", "", "id of this incarnation")
 	flags.StringVar(&s.addr, "addr", "", "address")
@@ -365,12 +367,14 @@
 	flags.StringVar(&s.zone, "zone", "", "zone")
 	flags.DurationVar(&s.work, "work", 60*time.Millisecond, "time of one request")
 	flags.DurationVar(&s.beats, "beats", 1500*time.Millisecond, "time between heartbeats")
+	flags.IntVar(&s.slots, "slots", 50, "requests at once")
 	record := flags.String("record", "record.txt", "record")
 	drainAfter := flags.Duration("drain-after", 0, "report draining this long after the start")
 	leaveFirst := flags.Bool("leave-first", false, "never report draining: leave at SIGUSR1 and serve on")
 	stay := flags.Duration("stay", 0, "how long the server serves on after the acknowledgement")
 	_ = flags.Parse(args)
 	s.record = openRecord(*record)
+	s.born = time.Now().UnixMilli()
 	leave := make(chan os.Signal, 1)
 	signal.Notify(leave, syscall.SIGUSR1)
 	listener, err := net.Listen("tcp", s.addr)
@@ -424,6 +428,7 @@
 	}
 	sequence := s.sequence.Add(1)
 	body, _ := json.Marshal(map[string]any{
+		"born":        s.born,
 		"address":     s.addr,
 		"information": map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
 		"status":      map[string]any{"state": state, "sequence": sequence, "cold_remaining_s": 0},
@@ -431,7 +436,10 @@
 	return s.post("Heartbeat", body, fmt.Sprintf("%s, sequence %d", state, sequence))
 }
 
-func (s *server) leave() bool { return s.post("Leave", nil, "") }
+func (s *server) leave() bool {
+	body, _ := json.Marshal(map[string]any{"born": s.born})
+	return s.post("Leave", body, "")
+}
 
 func (s *server) post(call string, body []byte, detail string) bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
