--- a/review/standins2/common.sh
+++ b/review/standins2/common.sh
@@ -67,12 +67,14 @@
 
 await_clients() { for pid in "${CLIENTS[@]}"; do wait "$pid"; done; }
 
-# config: the operator's configuration; two services, one safe and one unsafe route.
+# config: the operator's configuration. The route of service desk is safe; pay has an unsafe
+# and a safe one.
 config() {
   cat >"$TMP/config.json" <<JSON
 {"version":"r7","routes":[
  {"name":"r-desk","host":"desk.example","path_prefix":"/desk/","kind":"safe","timeout_s":5,"target_latency_s":1.2,"priority":2,"service":"desk","attempts":2},
- {"name":"r-pay","host":"pay.example","path_prefix":"/pay/","kind":"unsafe","timeout_s":5,"target_latency_s":1.2,"priority":0,"service":"pay","attempts":2}],
+ {"name":"r-pay","host":"pay.example","path_prefix":"/pay/","kind":"unsafe","timeout_s":5,"target_latency_s":1.2,"priority":0,"service":"pay","attempts":2},
+ {"name":"r-fee","host":"fee.example","path_prefix":"/fee/","kind":"safe","timeout_s":5,"target_latency_s":1.2,"priority":2,"service":"pay","attempts":2}],
  "services":[{"name":"desk","health_check_path":"/health","max_connections":400,"protocol":"h1","tls":false},{"name":"pay","health_check_path":"/health","max_connections":400,"protocol":"h1","tls":false}],
  "limits":{"header_bytes":16384,"body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},"base_version":"r5"}
 JSON
