--- a/review/standins2/world_test.go
+++ b/review/standins2/world_test.go
@@ -49,7 +49,7 @@
 func TestMain(*testing.M) {
 	roles := map[string]func([]string) int{
 		"subnet": subnet, "store": serveStore, "server": serve, "client": send, "proxy": proxy,
-		"await": await, "note": note, "check-route": checkRoute, "check-drain": checkDrain,
+		"await": await, "note": note, "check-route": checkRoute, "check-lost": checkLost,
 	}
 	if len(os.Args) < 2 || roles[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins2 ROLE FLAGS")
@@ -345,16 +345,17 @@
 
 type server struct {
 	service, id, addr, control, zone string
-	beats                            time.Duration
+	beats, work                      time.Duration
+	slots                            int
 	// born is the start in milliseconds since the Unix epoch.
-	born     int64
-	work     time.Duration
-	slots    int
-	record   recorder
-	running  atomic.Int64
-	sequence atomic.Int64
-	draining atomic.Bool
-	silent   atomic.Bool
+	born int64
+	// calls is how many calls each run makes, to callHost through the node at outbound.
+	calls              int
+	callHost, outbound string
+	record             recorder
+	running            atomic.Int64
+	sequence           atomic.Int64
+	draining, silent   atomic.Bool
 }
 
 func serve(args []string) int {
@@ -367,6 +368,9 @@
 	flags.StringVar(&s.zone, "zone", "", "zone")
 	flags.DurationVar(&s.work, "work", 60*time.Millisecond, "time of one request")
 	flags.DurationVar(&s.beats, "beats", 1500*time.Millisecond, "time between heartbeats")
+	flags.IntVar(&s.calls, "calls", 0, "calls that each run makes, one after the other")
+	flags.StringVar(&s.callHost, "call-host", "", "host of the route of the calls")
+	flags.StringVar(&s.outbound, "outbound", "", "address of the node for the calls")
 	flags.IntVar(&s.slots, "slots", 50, "requests at once")
 	record := flags.String("record", "record.txt", "record")
 	drainAfter := flags.Duration("drain-after", 0, "report draining this long after the start")
@@ -478,15 +482,36 @@
 	defer s.running.Add(-1)
 	s.record.add(event{What: "runs", Who: s.id, Service: s.service, ID: id, Route: r.Method + " " + r.Host + r.URL.Path,
 		Detail: "expected " + r.Header.Get(headerExpected) + ", remaining " + r.Header.Get(headerTimeout)})
+	remaining, _ := strconv.Atoi(r.Header.Get(headerTimeout))
+	end := time.Now().Add(time.Duration(remaining) * time.Millisecond)
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
+		s.record.add(event{What: "run cut", Who: s.id, Service: s.service, ID: id, Detail: time.Until(end).String() + " left"})
 		return
 	}
+	for range s.calls {
+		if !s.call(id, end) {
+			w.WriteHeader(http.StatusInternalServerError)
+			s.record.add(event{What: "run fails", Who: s.id, Service: s.service, ID: id})
+			return
+		}
+	}
+	s.record.add(event{What: "run ends", Who: s.id, Service: s.service, ID: id})
 	w.Header().Set(headerSignature, "signed."+s.id+"."+id)
 	_, _ = io.WriteString(w, s.service+" "+s.id+" answers "+id+"\n")
 }
 
+// call makes a call for the run of a request. It reports whether it succeeded.
+func (s *server) call(parent string, end time.Time) bool {
+	left := time.Until(end)
+	if left <= 0 {
+		return false
+	}
+	client := &http.Client{Timeout: left, Transport: &http.Transport{DisableKeepAlives: true}}
+	return sendOne(client, s.record, s.id, http.MethodGet, "http://"+s.outbound+"/look/1", s.callHost, left, parent+".") == http.StatusOK
+}
+
 // A client.
 
 func send(args []string) int {
@@ -508,29 +533,31 @@
 	tick := time.NewTicker(time.Duration(float64(time.Second) / *rate))
 	defer tick.Stop()
 	for end := time.Now().Add(*length); time.Now().Before(end); <-tick.C {
-		open.Go(func() { sendOne(client, out, *vm, *method, "http://"+*outbound+*path, *host, *timeout) })
+		open.Go(func() { sendOne(client, out, *vm, *method, "http://"+*outbound+*path, *host, *timeout, "") })
 	}
 	open.Wait()
 	return held
 }
 
-func sendOne(client *http.Client, out recorder, vm, method, target, host string, timeout time.Duration) {
+// sendOne sends a request, whose id begins with prefix, and returns the status of its
+// answer, 0 without one.
+func sendOne(client *http.Client, out recorder, vm, method, target, host string, timeout time.Duration, prefix string) int {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
-	id := hex.EncodeToString(b[:])
+	id := prefix + hex.EncodeToString(b[:])
 	r, err := http.NewRequest(method, target, nil)
 	if err != nil {
-		return
+		return 0
 	}
 	r.Host = host
 	r.Header.Set(headerID, id)
 	r.Header.Set(headerTimeout, strconv.FormatInt(timeout.Milliseconds(), 10))
 	route := method + " " + host
-	out.add(event{What: "sent", Who: vm, ID: id, Route: route})
+	out.add(event{What: "sent", Who: vm, ID: id, Route: route, Detail: timeout.String() + " left"})
 	resp, err := client.Do(r)
 	if err != nil {
 		out.add(event{What: "answered", Who: vm, ID: id, Route: route, Detail: err.Error()})
-		return
+		return 0
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
@@ -539,6 +566,10 @@
 		detail = err.Error()
 	}
 	out.add(event{What: "answered", Who: vm, ID: id, Route: route, Status: resp.StatusCode, Signed: resp.Header.Get(headerSignature), Detail: detail})
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
 }
 
 // proxy passes connections on. While the file hold exists, it keeps what the next
@@ -720,46 +751,65 @@
 	}
 }
 
-// checkDrain looks for requests that reach a server later than the bound after its leaving
-// was acknowledged. Requests sent before all machines were in touch again don't count.
-func checkDrain(args []string) int {
-	flags := flag.NewFlagSet("check-drain", flag.ExitOnError)
+// checkLost looks for requests that the node of a VM broke off after its SIGTERM, with an
+// answer of its own or none, while a server was at work on them. Not counted are those that
+// were sent within 3 s after the SIGTERM and at which the server was still at work in the
+// last sixth of the grace period, and those whose deadline was reached.
+func checkLost(args []string) int {
+	flags := flag.NewFlagSet("check-lost", flag.ExitOnError)
 	record := flags.String("record", "record.txt", "record")
-	id := flags.String("id", "", "the server that leaves")
-	bound := flags.Float64("drain", 2, "drain_s")
-	stable := flags.Float64("stable", 3, "stable_window_s")
+	names := flags.String("from", "", "clients and servers of the VM, separated by commas")
+	grace := flags.Float64("grace", 6, "grace_s")
+	timeout := flags.Float64("timeout", 5, "timeout_s of the routes")
 	_ = flags.Parse(args)
 	events := readRecord(*record)
-	var acknowledged, inTouch float64
-	sent, answered := map[string]event{}, map[string]event{}
+	var sigterm float64
+	sent, runs, ended := map[string]event{}, map[string]event{}, map[string]event{}
+	failedRuns := 0
 	for _, e := range events {
-		switch {
-		case strings.HasSuffix(e.What, " acknowledged") && e.Who == *id:
-			acknowledged = e.At
-		case e.What == "node is back":
-			inTouch = e.At + *stable
-		case e.What == "sent":
+		switch e.What {
+		case "SIGTERM":
+			sigterm = e.At
+		case "sent":
 			sent[e.ID] = e
-		case e.What == "answered":
-			answered[e.ID] = e
+		case "runs":
+			runs[e.ID] = e
+		case "run cut", "run ends":
+			ended[e.ID] = e
+		case "run fails":
+			ended[e.ID] = e
+			failedRuns++
 		}
 	}
-	if acknowledged == 0 {
-		fmt.Println("no acknowledgement: the case did not run")
-		return failed
-	}
-	late, lost := 0, 0
+	// atWork is how much later than the answer the run ends at least, slack the inaccuracy
+	// of the times in the record.
+	const atWork, slack = 0.05, 0.05
+	lost, excused := 0, 0
 	for _, e := range events {
-		if e.What != "runs" || e.Who != *id || e.At <= acknowledged+*bound || sent[e.ID].At < inTouch {
+		begun, end := sent[e.ID], ended[e.ID]
+		if e.What != "answered" || e.Signed != "" || runs[e.ID].At == 0 || sigterm == 0 || e.At < sigterm || e.At > sigterm+*grace+1 {
 			continue
 		}
-		if late++; late == 1 {
-			fmt.Printf("first: %s, %s, reaches %s %.2f s after the acknowledgement\n", e.ID, e.Route, *id, e.At-acknowledged)
+		if !strings.Contains(","+*names+",", ","+begun.Who+",") {
+			continue
+		}
+		left, _ := time.ParseDuration(strings.TrimSuffix(begun.Detail, " left"))
+		if limit := min(left.Seconds(), *timeout); e.At >= begun.At+limit-slack {
+			continue
+		}
+		// A run that was cut was at work until the node broke it off.
+		if end.What == "run cut" && end.At < e.At-atWork || end.What != "run cut" && end.At != 0 && end.At < e.At+atWork {
+			continue
+		}
+		if begun.At <= sigterm+3 && e.At >= sigterm+*grace*5/6-slack {
+			excused++
+			continue
 		}
-		if answered[e.ID].Status != http.StatusOK {
-			lost++
+		if lost++; lost == 1 {
+			fmt.Printf("first: %s, sent %.2f s after the SIGTERM, runs at %s; broken off at %.2f s, answered %d by the node, %.2f s before its deadline\n",
+				e.ID, begun.At-sigterm, runs[e.ID].Who, e.At-sigterm, e.Status, begun.At+left.Seconds()-e.At)
 		}
 	}
-	fmt.Printf("%d requests served, %d reach %s later than %.1f s after the acknowledgement, %d of these get no success\n", served(events), late, *id, *bound, lost)
-	return verdict(events, late)
+	fmt.Printf("%d requests served; after the SIGTERM %d broken off at which a server was at work (%d more excused); %d runs of servers failed for want of a call\n", served(events), lost, excused, failedRuns)
+	return verdict(events, lost)
 }
