--- a/review/standins2/world_test.go
+++ b/review/standins2/world_test.go
@@ -49,7 +49,7 @@
 func TestMain(*testing.M) {
 	roles := map[string]func([]string) int{
 		"subnet": subnet, "store": serveStore, "server": serve, "client": send, "proxy": proxy,
-		"await": await, "note": note, "check-route": checkRoute, "check-lost": checkLost,
+		"await": await, "note": note, "check-route": checkRoute, "check-lost": checkLost, "check-drain": checkDrain, "foreign": foreign,
 	}
 	if len(os.Args) < 2 || roles[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins2 ROLE FLAGS")
@@ -668,6 +668,28 @@
 	return true
 }
 
+// foreign sends the heartbeat of another writer: version, zone and cold_remaining_s are
+// missing.
+func foreign(args []string) int {
+	flags := flag.NewFlagSet("foreign", flag.ExitOnError)
+	s := &server{}
+	flags.StringVar(&s.service, "service", "", "service")
+	flags.StringVar(&s.id, "id", "", "id in the path")
+	flags.StringVar(&s.addr, "addr", "", "address in the heartbeat")
+	flags.StringVar(&s.control, "control", "", "where the heartbeat goes")
+	record := flags.String("record", "record.txt", "record")
+	_ = flags.Parse(args)
+	s.record = openRecord(*record)
+	body, _ := json.Marshal(map[string]any{
+		"born":        time.Now().UnixMilli(),
+		"address":     s.addr,
+		"information": map[string]any{"service": s.service, "slots": 50},
+		"status":      map[string]any{"state": "ready", "sequence": 1},
+	})
+	s.post("Heartbeat", body, "of another writer, without version, zone and cold_remaining_s")
+	return held
+}
+
 // The checks.
 
 func readRecord(path string) []event {
@@ -813,3 +835,47 @@
 	fmt.Printf("%d requests served; after the SIGTERM %d broken off at which a server was at work (%d more excused); %d runs of servers failed for want of a call\n", served(events), lost, excused, failedRuns)
 	return verdict(events, lost)
 }
+
+// checkDrain looks for requests that reach a server later than the bound after its leaving
+// was acknowledged. Requests sent before all machines were in touch again don't count.
+func checkDrain(args []string) int {
+	flags := flag.NewFlagSet("check-drain", flag.ExitOnError)
+	record := flags.String("record", "record.txt", "record")
+	id := flags.String("id", "", "the server that leaves")
+	bound := flags.Float64("drain", 2, "drain_s")
+	stable := flags.Float64("stable", 3, "stable_window_s")
+	_ = flags.Parse(args)
+	events := readRecord(*record)
+	var acknowledged, inTouch float64
+	sent, answered := map[string]event{}, map[string]event{}
+	for _, e := range events {
+		switch {
+		case strings.HasSuffix(e.What, " acknowledged") && e.Who == *id:
+			acknowledged = e.At
+		case e.What == "node is back":
+			inTouch = e.At + *stable
+		case e.What == "sent":
+			sent[e.ID] = e
+		case e.What == "answered":
+			answered[e.ID] = e
+		}
+	}
+	if acknowledged == 0 {
+		fmt.Println("no acknowledgement: the case did not run")
+		return failed
+	}
+	late, lost := 0, 0
+	for _, e := range events {
+		if e.What != "runs" || e.Who != *id || e.At <= acknowledged+*bound || sent[e.ID].At < inTouch {
+			continue
+		}
+		if late++; late == 1 {
+			fmt.Printf("first: %s, %s, reaches %s %.2f s after the acknowledgement\n", e.ID, e.Route, *id, e.At-acknowledged)
+		}
+		if answered[e.ID].Status != http.StatusOK {
+			lost++
+		}
+	}
+	fmt.Printf("%d requests served, %d reach %s later than %.1f s after the acknowledgement, %d of these get no success\n", served(events), late, *id, *bound, lost)
+	return verdict(events, late)
+}
