--- a/node/drain.go
+++ b/node/drain.go
@@ -22,16 +22,20 @@
 //
 // Changes are serialized: two interleaved changes could leave a gate that refuses
 // forever at a node that the members believe to accept calls.
-func (n *Node) SetDraining(draining bool) {
+func (n *Node) SetDraining(draining bool) { n.setDraining(draining, causeOperator) }
+
+// setDraining is SetDraining with what caused the change.
+func (n *Node) setDraining(draining bool, cause string) {
 	n.drainMu.Lock()
 	defer n.drainMu.Unlock()
 	if n.draining.Swap(draining) == draining || n.settings.Ablate.NoDrainNews {
 		return
 	}
 	if draining {
-		n.log.Emit(observe.Draining, observe.Int64("in_flight", n.active.Load()))
+		n.log.Emit(observe.Draining, observe.Str("cause", cause), observe.Int64("in_flight", n.active.Load()))
 		n.drainTimer = time.AfterFunc(drainSpreadTime, n.closeGate)
 	} else {
+		n.log.Emit(observe.DrainCancelled, observe.Str("cause", cause))
 		n.drainTimer.Stop()
 		n.gate.Undrain()
 		n.cancelHandover()
@@ -70,7 +74,7 @@
 	if n.usesDialect() {
 		return n.shutdownWithDialect(ctx)
 	}
-	n.SetDraining(true)
+	n.setDraining(true, causeShutdown)
 	if n.settings.Ablate.NoDrainWait {
 		n.Close()
 		return nil
--- a/node/local.go
+++ b/node/local.go
@@ -87,6 +87,7 @@
 	req := l.request
 	out := l.node.upstreamRequest(up, l.visit, req)
 	l.node.countSent(up)
+	l.node.checkDeparture(up)
 	resp, unsent, err := l.node.roundTrip(l.visit.ctx, up.transport, out)
 	if err != nil {
 		return l.failed(unsent, err)
--- a/node/logging.go
+++ b/node/logging.go
@@ -42,13 +42,27 @@
 	n.log.Emit(observe.AnswerAborted, observe.Str("request", call.ShortID(req.call.RequestID)), observe.Err(err))
 }
 
+// Values of the field cause of Draining and DrainCancelled.
+const (
+	causeUpstream = "upstream"
+	causeOperator = "operator"
+	causeShutdown = "shutdown"
+)
+
+// incarnationFields name an incarnation of the upstream in an event.
+func incarnationFields(instance string, born int64) []observe.Field {
+	return []observe.Field{observe.Str("instance", instance), observe.Int64("born", born)}
+}
+
 // upstreamChanged logs a new or changed upstream and announces its slots.
 func (n *Node) upstreamChanged(a Announcement, first bool) {
 	event := observe.UpstreamChanged
 	if first {
 		event = observe.UpstreamAnnounced
 	}
-	n.log.Emit(event, observe.Str("addr", a.Addr), observe.Int("slots", a.Slots))
+	n.log.Emit(event, append(incarnationFields(a.Instance, a.Born),
+		observe.Int64("sequence", int64(a.Sequence)), observe.Bool("leaves", a.Draining),
+		observe.Str("addr", a.Addr), observe.Int("slots", a.Slots))...)
 	n.announceUpstream(a.Slots)
 }
 
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -95,12 +95,15 @@
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
 	if !n.announced.fresh(a, n.now()) {
-		n.log.Emit(observe.AnnouncementStale, observe.Str("instance", a.Instance), observe.Int64("sequence", int64(a.Sequence)))
+		n.log.Emit(observe.AnnouncementStale, append(incarnationFields(a.Instance, a.Born), observe.Int64("sequence", int64(a.Sequence)))...)
 		return nil
 	}
+	if up := n.upstream.Load(); a.Draining && (up == nil || !up.Draining || !up.sameIncarnation(a)) {
+		n.log.Emit(observe.UpstreamDeparted, append(incarnationFields(a.Instance, a.Born), observe.Str("report", "heartbeat"))...)
+	}
 	n.replaceUpstream(a)
 	if a.Instance != "" && !n.ending.Load() {
-		n.SetDraining(a.Draining)
+		n.setDraining(a.Draining, causeUpstream)
 	}
 	return nil
 }
@@ -112,11 +115,13 @@
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
 	if !n.announced.recordDeparture(instance, born, n.now()) {
-		n.log.Emit(observe.AnnouncementStale, observe.Str("instance", instance), observe.Int64("born", born))
+		n.log.Emit(observe.DepartureIgnored, append(incarnationFields(instance, born), observe.Int64("current_born", n.announced.incarnations[instance].born))...)
 		return
 	}
+	n.log.Emit(observe.UpstreamDeparted, append(incarnationFields(instance, born), observe.Str("report", "leave"))...)
 	if up := n.upstream.Load(); up != nil && up.Instance == instance {
-		n.SetDraining(true)
+		up.incarnation.markDeparted(n.announced.departure(instance))
+		n.setDraining(true, causeUpstream)
 	}
 }
 
@@ -126,6 +131,7 @@
 func (n *Node) adoptInstance(up *upstream, instance string) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
+	n.log.Emit(observe.UpstreamMisdirected, append(incarnationFields(up.Instance, up.Born), observe.Str("found", instance))...)
 	if instance == "" || n.upstream.Load() != up {
 		return
 	}
@@ -146,6 +152,7 @@
 		next.transport = newTransport(&countingNetwork{Network: n.network, opened: n.metrics.UpstreamConns}, a.Connections)
 		next.incarnation = newIncarnation()
 	}
+	next.incarnation.markDeparted(n.announced.departure(a.Instance))
 	n.upstream.Store(next)
 	if old != nil && old.transport != next.transport {
 		old.transport.CloseIdleConnections()
@@ -203,6 +210,14 @@
 	born     int64
 	sequence uint64
 	lastSeen time.Time
+	// departedAt is when the incarnation first reported that it leaves.
+	departedAt time.Time
+}
+
+// departure returns when the latest incarnation of a name reported that it leaves, the zero
+// time if it did not.
+func (i *announcedInstances) departure(instance string) time.Time {
+	return i.incarnations[instance].departedAt
 }
 
 // departedSequence is the sequence of an incarnation that has left; it is above every
@@ -222,7 +237,14 @@
 	if known && a.Born == last.born && a.Sequence <= last.sequence {
 		return false
 	}
-	i.set(a.Instance, announcedIncarnation{born: a.Born, sequence: a.Sequence, lastSeen: now})
+	next := announcedIncarnation{born: a.Born, sequence: a.Sequence, lastSeen: now}
+	if known && a.Born == last.born {
+		next.departedAt = last.departedAt
+	}
+	if a.Draining && next.departedAt.IsZero() {
+		next.departedAt = now
+	}
+	i.set(a.Instance, next)
 	return true
 }
 
@@ -236,7 +258,11 @@
 	// The leave report counts as an announcement of this incarnation: a silence
 	// before it is irrelevant, and a delayed announcement of an earlier incarnation
 	// must not replace it.
-	i.set(instance, announcedIncarnation{born: max(born, last.born), sequence: departedSequence, lastSeen: now})
+	next := announcedIncarnation{born: max(born, last.born), sequence: departedSequence, lastSeen: now, departedAt: now}
+	if next.born == last.born && !last.departedAt.IsZero() {
+		next.departedAt = last.departedAt
+	}
+	i.set(instance, next)
 	return true
 }
 
--- a/node/upstreamcrash.go
+++ b/node/upstreamcrash.go
@@ -30,6 +30,8 @@
 	// was. An upstream that sends no instance name may be back without notice: a run
 	// that began after crashedAt belongs to the next incarnation.
 	crashedAt atomic.Pointer[time.Time]
+	// departedAt is when the upstream reported that it leaves, nil if it did not.
+	departedAt atomic.Pointer[time.Time]
 	// silentUntil is the time until which the upstream is not dialled again because a
 	// dial got no response. lastSeen is when the last dial that found it running began.
 	// The holder of turn guards both.
--- a/observe/events.go
+++ b/observe/events.go
@@ -25,6 +25,11 @@
 	ProcessEnds         = defineEvent(1022, "process-ends", Info, "The process exits. The line accounts for all requests that it has read: answered, cut, and open. An incarnation (the field node) whose log has no such line was killed, or its last lines were lost.", "None, if no request is cut or open; otherwise read the lines of event 4030 before it.")
 	DrainProgress       = defineEvent(1023, "drain-progress", Info, "A drain is under way. Logged once a second: the requests that are being served, the oldest of them and its age, and the time left.", "None; after a kill, the last such line shows what the process held.")
 	UpstreamLeaving     = defineEvent(1024, "upstream-leaving", Info, "The upstream stated in a response that it is about to stop.", noAction)
+	UpstreamDeparted    = defineEvent(1025, "upstream-departed", Info, "The upstream reported that it leaves, by a heartbeat or a leave call. The line names its incarnation and the report; from here on it gets no new calls.", noAction)
+	DrainCancelled      = defineEvent(1026, "drain-cancelled", Info, "The node takes new work again; the line gives what ended the drain.", noAction)
+	DepartureIgnored    = defineEvent(1027, "departure-ignored", Warn, "A leave call was acknowledged that names an earlier start than the incarnation that the node takes for the current one; the drain state stays as it was.", "Compare the two start times with those of the upstream's own log: a clock that was set back, or another writer's heartbeat, makes a running upstream look like an earlier start.")
+	UpstreamMisdirected = defineEvent(1028, "upstream-misdirected", Warn, "The process at the upstream's address rejected a call as one for another incarnation. The line gives both.", "None, if the upstream has just restarted; otherwise look for a process of another service at this address.")
+	CallAfterDeparture  = defineEvent(1029, "call-after-departure", Error, "A call was sent to an incarnation of the upstream some time after its departure was recorded.", "This is a fault of the node: report it with the lines 1005, 1008, 1013 and 1025 to 1028 before it.")
 	TraceExportFailed   = defineEvent(1014, "trace-export-failed", Warn, "Spans could not be sent to the collector.", "See whether the collector is up; calls are not affected.")
 )
 
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -39,6 +39,7 @@
 type Metrics struct {
 	Limit, InFlight, Blocked, QueueLength metrics.Gauge
 	UpstreamsEnded                        metrics.Counter
+	CallsAfterDeparture                   metrics.Counter
 	// Quarantine counts changes by kind; Quarantined holds the number of requests
 	// by state.
 	Quarantine               Counters
@@ -141,6 +142,7 @@
 	m.Quarantine = m.counters(quarantineMetric)
 	m.Quarantined = m.gauges(quarantinedMetric)
 	m.UpstreamsEnded = m.counters(crashesMetric).With()
+	m.CallsAfterDeparture = m.counters(afterDepartureMetric).With()
 	m.InFlight = m.gauges(inFlightMetric).With()
 	m.Blocked = m.gauges(blockedMetric).With()
 	m.QueueLength = m.gauges(queueMetric).With()
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -36,16 +36,17 @@
 
 // Admission.
 var (
-	limitMetric       = defineMetric("pollengauge_limit", GaugeKind, unitCount, "Concurrency limit in force for the upstream.")
-	inFlightMetric    = defineMetric("pollengauge_in_flight", GaugeKind, unitCount, "Calls dispatched to the upstream and not yet answered.")
-	blockedMetric     = defineMetric("pollengauge_blocked", GaugeKind, unitCount, "Calls in flight that wait for calls they made below.")
-	queueMetric       = defineMetric("pollengauge_queue_length", GaugeKind, unitCount, "Calls waiting for dispatch.")
-	admitLevelMetric  = defineMetric("pollengauge_admission_level", GaugeKind, unitCount, "Admission level in force; requests below it are refused. 0 refuses none.")
-	loadMetric        = defineMetric("pollengauge_load_ratio", GaugeKind, unitRatio, "Calls in flight and waiting as a share of the limit.")
-	crashesMetric     = defineMetric("pollengauge_upstreams_ended_total", CounterKind, unitCount, "Times that the upstream beside this node ended without notice while it was running calls.")
-	quarantineMetric  = defineMetric("pollengauge_quarantine_total", CounterKind, unitCount, "Requests under which upstreams end, by what changed: suspected after one end, held back, tried again once, cleared.", "change")
-	quarantinedMetric = defineMetric("pollengauge_quarantine_requests", GaugeKind, unitCount, "Requests under which upstreams have ended that this node knows of, by state.", "state")
-	drainingMetric    = defineMetric("pollengauge_draining", GaugeKind, unitCount, "1 while the node takes no new work.")
+	limitMetric          = defineMetric("pollengauge_limit", GaugeKind, unitCount, "Concurrency limit in force for the upstream.")
+	inFlightMetric       = defineMetric("pollengauge_in_flight", GaugeKind, unitCount, "Calls dispatched to the upstream and not yet answered.")
+	blockedMetric        = defineMetric("pollengauge_blocked", GaugeKind, unitCount, "Calls in flight that wait for calls they made below.")
+	queueMetric          = defineMetric("pollengauge_queue_length", GaugeKind, unitCount, "Calls waiting for dispatch.")
+	admitLevelMetric     = defineMetric("pollengauge_admission_level", GaugeKind, unitCount, "Admission level in force; requests below it are refused. 0 refuses none.")
+	loadMetric           = defineMetric("pollengauge_load_ratio", GaugeKind, unitRatio, "Calls in flight and waiting as a share of the limit.")
+	afterDepartureMetric = defineMetric("pollengauge_calls_after_departure_total", CounterKind, unitCount, "Calls sent to an incarnation of the upstream beside this node some time after its departure was recorded.")
+	crashesMetric        = defineMetric("pollengauge_upstreams_ended_total", CounterKind, unitCount, "Times that the upstream beside this node ended without notice while it was running calls.")
+	quarantineMetric     = defineMetric("pollengauge_quarantine_total", CounterKind, unitCount, "Requests under which upstreams end, by what changed: suspected after one end, held back, tried again once, cleared.", "change")
+	quarantinedMetric    = defineMetric("pollengauge_quarantine_requests", GaugeKind, unitCount, "Requests under which upstreams have ended that this node knows of, by state.", "state")
+	drainingMetric       = defineMetric("pollengauge_draining", GaugeKind, unitCount, "1 while the node takes no new work.")
 )
 
 // Keys and fates.
