--- a/node/departurecheck.go
+++ b/node/departures.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pollengauge.dev/incarnation"
 	"pollengauge.dev/observe"
 )
 
@@ -10,6 +11,15 @@
 // still be sent to it.
 const maxDrainTime = 2 * drainSpreadTime
 
+// recordDeparture logs the first report of a departure. The caller
+// holds announceMu.
+func (n *Node) recordDeparture(id incarnation.ID, report string) {
+	n.log.Emit(observe.UpstreamDeparted, append(incarnationFields(id), observe.Str("report", report))...)
+	if up := n.upstream.Load(); up != nil && up.id() == id {
+		up.incarnation.markDeparted(n.incarnations.LeftAt(id))
+	}
+}
+
 // markDeparted records when the incarnation reported that it leaves. The zero time changes
 // nothing.
 func (l *upstreamIncarnation) markDeparted(at time.Time) {
@@ -27,6 +37,6 @@
 	}
 	if after := n.now().Sub(*at); after > maxDrainTime {
 		n.metrics.CallsAfterDeparture.Inc(1)
-		n.log.Emit(observe.CallAfterDeparture, append(incarnationFields(up.Instance, up.Born), observe.Dur("after", after))...)
+		n.log.Emit(observe.CallAfterDeparture, append(incarnationFields(up.id()), observe.Dur("after", after))...)
 	}
 }
--- a/node/drain.go
+++ b/node/drain.go
@@ -12,31 +12,63 @@
 // drainPoll is how often a drain checks whether the last call has ended.
 const drainPoll = 10 * time.Millisecond
 
-// SetDraining begins or cancels a drain. Repeated calls with the same value have no
-// effect.
+// drainCause is why a node drains. A node may have several causes at once, and drains until
+// the last one has ended.
+type drainCause uint8
+
+const (
+	// causeOperator is a request of an operator.
+	causeOperator drainCause = 1 << iota
+	// causeShutdown is the end of the process.
+	causeShutdown
+	// causeUpstream is an upstream that may get no calls: it is about to leave, or it is
+	// not known which incarnation of it is running.
+	causeUpstream
+)
+
+var drainCauseNames = map[drainCause]string{causeOperator: "operator", causeShutdown: "shutdown", causeUpstream: "upstream"}
+
+// SetDraining begins or cancels a drain on behalf of an operator. Repeated calls with the
+// same value have no effect, and neither does a cancellation on drains with another cause.
+func (n *Node) SetDraining(draining bool) { n.setDraining(causeOperator, draining, false) }
+
+// setDraining begins or ends a drain with a cause.
 //
 // A draining node announces the drain through gossip and forwards calls that arrive at
 // its edge to other nodes. For drainSpreadTime it still accepts calls from nodes that
-// have not received the announcement yet; after that it refuses with not-run, so that
-// the calls of a node that never receives it are sent elsewhere as well.
+// have not received the announcement yet, unless atOnce is set; after that it refuses with
+// not-run, so that the calls of a node that never receives it are sent elsewhere as well.
 //
 // Changes are serialized: two interleaved changes could leave a gate that refuses
 // forever at a node that the members believe to accept calls.
-func (n *Node) SetDraining(draining bool) { n.setDraining(draining, causeOperator) }
-
-// setDraining is SetDraining with what caused the change.
-func (n *Node) setDraining(draining bool, cause string) {
+func (n *Node) setDraining(cause drainCause, on, atOnce bool) {
 	n.drainMu.Lock()
 	defer n.drainMu.Unlock()
-	if n.draining.Swap(draining) == draining || n.settings.Ablate.NoDrainNews {
+	before := n.drainCauses
+	if on {
+		n.drainCauses |= cause
+	} else {
+		n.drainCauses &^= cause
+	}
+	if n.drainCauses == before {
+		return
+	}
+	draining := n.drainCauses != 0
+	changed := n.draining.Swap(draining) != draining
+	if n.settings.Ablate.NoDrainNews {
 		return
 	}
-	if draining {
-		n.log.Emit(observe.Draining, observe.Str("cause", cause), observe.Int64("in_flight", n.active.Load()))
-		n.drainTimer = time.AfterFunc(drainSpreadTime, n.closeGate)
+	n.stopDrainTimer(cause)
+	if on {
+		n.log.Emit(observe.Draining, observe.Str("cause", drainCauseNames[cause]), observe.Int64("in_flight", n.active.Load()))
+		n.closeGateLater(cause, atOnce)
 	} else {
-		n.log.Emit(observe.DrainCancelled, observe.Str("cause", cause))
-		n.drainTimer.Stop()
+		n.log.Emit(observe.DrainCancelled, observe.Str("cause", drainCauseNames[cause]), observe.Bool("draining", draining))
+	}
+	if !changed {
+		return
+	}
+	if !draining {
 		n.gate.Undrain()
 		n.cancelHandover()
 	}
@@ -51,6 +83,37 @@
 // credit or budget would fail needlessly.
 const drainSpreadTime = time.Second
 
+// closeGateLater closes the gate after drainSpreadTime, or now if atOnce is set. The caller
+// holds drainMu.
+func (n *Node) closeGateLater(cause drainCause, atOnce bool) {
+	if atOnce {
+		n.closeGateFor(cause)
+		return
+	}
+	n.drainTimers[cause] = time.AfterFunc(drainSpreadTime, func() {
+		n.drainMu.Lock()
+		defer n.drainMu.Unlock()
+		n.closeGateFor(cause)
+	})
+}
+
+// stopDrainTimer stops the timer of closeGateLater, if there is one. The caller holds drainMu.
+func (n *Node) stopDrainTimer(cause drainCause) {
+	if timer := n.drainTimers[cause]; timer != nil {
+		timer.Stop()
+		delete(n.drainTimers, cause)
+	}
+}
+
+// closeGateFor closes the gate, unless the drain with this cause has ended in the meantime. The
+// caller holds drainMu.
+func (n *Node) closeGateFor(cause drainCause) {
+	if n.drainCauses&cause == 0 {
+		return
+	}
+	n.gate.Drain()
+}
+
 // closeGate closes the gate, unless the drain was cancelled in the meantime.
 func (n *Node) closeGate() {
 	n.drainMu.Lock()
@@ -74,7 +137,7 @@
 	if n.usesDialect() {
 		return n.shutdownWithDialect(ctx)
 	}
-	n.setDraining(true, causeShutdown)
+	n.setDraining(causeShutdown, true, false)
 	if n.settings.Ablate.NoDrainWait {
 		n.Close()
 		return nil
--- a/node/ending.go
+++ b/node/ending.go
@@ -40,7 +40,7 @@
 func (n *Node) shutdownWithDialect(ctx context.Context) error {
 	drainDelay, acceptTime := shutdownTimes(n.adjusted.Load().DrainTimeout)
 	objects.Pause(ctx, drainDelay)
-	n.setDraining(true, causeShutdown)
+	n.setDraining(causeShutdown, true, false)
 	objects.Pause(ctx, acceptTime-drainDelay)
 	n.closed.Store(true)
 	defer n.closeCallsBefore(ctx)()
--- a/node/local.go
+++ b/node/local.go
@@ -37,6 +37,8 @@
 		}
 		return n.gateRefusal(req, err, arrived)
 	}
+	// The call may have been queued while another incarnation took the place.
+	up = n.upstream.Load()
 	v, cancel := n.openVisit(ctx, req, ticket, up.incarnation)
 	run := &localCall{node: n, upstream: up, visit: v, cancel: cancel, request: req, arrived: arrived, started: v.started}
 	return run.run(up)
--- a/node/logging.go
+++ b/node/logging.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/incarnation"
 	"pollengauge.dev/observe"
 )
 
@@ -42,16 +43,9 @@
 	n.log.Emit(observe.AnswerAborted, observe.Str("request", call.ShortID(req.call.RequestID)), observe.Err(err))
 }
 
-// Values of the field cause of Draining and DrainCancelled.
-const (
-	causeUpstream = "upstream"
-	causeOperator = "operator"
-	causeShutdown = "shutdown"
-)
-
 // incarnationFields name an incarnation of the upstream in an event.
-func incarnationFields(instance string, born int64) []observe.Field {
-	return []observe.Field{observe.Str("instance", instance), observe.Int64("born", born)}
+func incarnationFields(id incarnation.ID) []observe.Field {
+	return []observe.Field{observe.Str("instance", id.Name), observe.Int64("born", id.Born)}
 }
 
 // upstreamChanged logs a new or changed upstream and announces its slots.
@@ -60,7 +54,7 @@
 	if first {
 		event = observe.UpstreamAnnounced
 	}
-	n.log.Emit(event, append(incarnationFields(a.Instance, a.Born),
+	n.log.Emit(event, append(incarnationFields(a.incarnation()),
 		observe.Int64("sequence", int64(a.Sequence)), observe.Bool("leaves", a.Draining),
 		observe.Str("addr", a.Addr), observe.Int("slots", a.Slots))...)
 	n.announceUpstream(a.Slots)
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/incarnation"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/node/inflight"
 	"pollengauge.dev/objects"
@@ -105,11 +106,13 @@
 	peerLimiter *peerLimiter
 
 	announceMu sync.Mutex
-	// announced is guarded by announceMu.
-	announced  announcedInstances
-	drainMu    sync.Mutex
-	drainTimer *time.Timer
-	targetsMu  sync.Mutex
+	// incarnations is guarded by announceMu.
+	incarnations incarnation.Tracker
+	drainMu      sync.Mutex
+	// drainCauses and drainTimers are guarded by drainMu.
+	drainCauses drainCause
+	drainTimers map[drainCause]*time.Timer
+	targetsMu   sync.Mutex
 	// targets is the last list of targets passed to the router; targetsMu guards it.
 	targets  []routing.Target
 	upstream atomic.Pointer[upstream]
@@ -184,6 +187,7 @@
 		exit:              make(chan struct{}),
 		changes:           newLoggedState(),
 		conns:             newConnCounts(),
+		drainTimers:       make(map[drainCause]*time.Timer),
 	}
 	if n.usesDialect() {
 		n.reservedHeaders = reservedHeadersOf(settings.Dialect)
--- a/node/routed_test.go
+++ b/node/routed_test.go
@@ -14,6 +14,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/incarnation"
 )
 
 // A node gets SIGTERM while its upstream continues to announce itself. If the
@@ -147,18 +148,19 @@
 		f.c.Check(n.upstream.Load().Born, qt.Equals, int64(9000))
 		announce(9000, 1, true)
 		f.c.Check(n.draining.Load(), qt.IsFalse, qt.Commentf("a repeated announcement"))
-		time.Sleep(reorderWindow)
+		time.Sleep(incarnation.ReorderWindow)
 		announce(5000, 1, false)
 		f.c.Check(n.upstream.Load().Born, qt.Equals, int64(5000), qt.Commentf("the clock was set back"))
 	})
 }
 
 // The upstream restarts, and the new incarnation refuses requests that are meant for
-// the old one. The incarnation stated in its answer must be enough for the next
-// request to succeed.
-func TestRestartedUpstreamIsKnownByItsAnswer(t *testing.T) {
+// the old one. It gets requests again from its first announcement on. Its answer alone must not
+// be enough: a server of another service may have been given the address.
+func TestRestartedUpstreamIsServedOnceAnnounced(t *testing.T) {
 	inFleet(t, func(f *fleet) {
 		front := f.addRouted("front", "front", 10, echo)
+		runs := 0
 		desk := f.addRouted("desk", "desk", 10, func(w http.ResponseWriter, r *http.Request, c func(string, string, string) (*http.Response, error)) {
 			if r.Header.Get("X-Instance") != "two" {
 				w.Header().Set("X-Echo", r.Header.Get("X-Id"))
@@ -166,6 +168,7 @@
 				w.WriteHeader(http.StatusMisdirectedRequest)
 				return
 			}
+			runs++
 			echo(w, r, c)
 		})
 		a := desk.upstream.Load().Announcement
@@ -173,7 +176,14 @@
 		f.c.Assert(desk.Announce(a), qt.IsNil)
 		f.settle()
 		f.c.Check(f.askRouted(front, "/file/x", "first").status, qt.Equals, http.StatusServiceUnavailable)
-		f.c.Check(f.askRouted(front, "/file/x", "second").status, qt.Equals, http.StatusOK)
+		f.c.Check(f.askRouted(front, "/file/x", "second").status, qt.Equals, http.StatusServiceUnavailable)
+		f.c.Check(runs, qt.Equals, 0)
+		a.Instance = "two"
+		f.c.Assert(desk.Announce(a), qt.IsNil)
+		f.c.Check(f.askRouted(desk, "/file/x", "third").status, qt.Equals, http.StatusOK)
+		time.Sleep(time.Second)
+		f.c.Check(f.askRouted(front, "/file/x", "fourth").status, qt.Equals, http.StatusOK)
+		f.c.Check(runs, qt.Equals, 2)
 	})
 }
 
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/incarnation"
 	"pollengauge.dev/observe"
 )
 
@@ -92,52 +93,82 @@
 	if a.Connections == 0 {
 		a.Connections = n.settings.UpstreamConns
 	}
+	n.takeHeartbeat(a)
+	return nil
+}
+
+// takeHeartbeat takes an announcement and reports whether it is the first one of a
+// departure.
+func (n *Node) takeHeartbeat(a Announcement) (departed bool) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	if !n.announced.fresh(a, n.now()) {
-		n.log.Emit(observe.AnnouncementStale, append(incarnationFields(a.Instance, a.Born), observe.Int64("sequence", int64(a.Sequence)))...)
-		return nil
+	id := a.incarnation()
+	effect := n.incarnations.Heartbeat(incarnation.Heartbeat{ID: id, Sequence: a.Sequence, Leaving: a.Draining}, n.now())
+	if effect.Ignored {
+		n.log.Emit(observe.AnnouncementStale, append(incarnationFields(id), observe.Int64("sequence", int64(a.Sequence)))...)
+		return false
 	}
-	if up := n.upstream.Load(); a.Draining && (up == nil || !up.Draining || !up.sameIncarnation(a)) {
-		n.log.Emit(observe.UpstreamDeparted, append(incarnationFields(a.Instance, a.Born), observe.Str("report", "heartbeat"))...)
+	if effect.Departed {
+		n.recordDeparture(id, "heartbeat")
 	}
+	// An incarnation that gets no calls yet needs no time to let its departure spread.
+	old := n.upstream.Load()
+	inUse := old != nil && old.sameIncarnation(a)
 	n.replaceUpstream(a)
-	if a.Instance != "" && !n.ending.Load() {
-		n.setDraining(a.Draining, causeUpstream)
-	}
-	return nil
+	n.drainWithUpstream(!inUse)
+	return effect.Departed
 }
 
 // Leaving reports that an incarnation of the upstream takes no new calls and is about
-// to stop. It may be repeated. A report about an incarnation other than the current
-// one has no effect. born is as in Announcement.
+// to stop. It may be repeated. The incarnation gets no calls from then on, whichever one is in
+// use. born is as in Announcement.
 func (n *Node) Leaving(instance string, born int64) {
+	n.takeDeparture(incarnation.ID{Name: instance, Born: born}, "leave")
+}
+
+// takeDeparture takes a report that an incarnation leaves, and reports whether it is the
+// first one.
+func (n *Node) takeDeparture(id incarnation.ID, report string) (departed bool) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	if !n.announced.recordDeparture(instance, born, n.now()) {
-		n.log.Emit(observe.DepartureIgnored, append(incarnationFields(instance, born), observe.Int64("current_born", n.announced.incarnations[instance].born))...)
-		return
+	effect := n.incarnations.Leave(id, n.now())
+	if effect.Disputed {
+		current, _ := n.incarnations.Current()
+		n.log.Emit(observe.DepartureDisputed, append(incarnationFields(id), observe.Int64("current_born", current.Born))...)
 	}
-	n.log.Emit(observe.UpstreamDeparted, append(incarnationFields(instance, born), observe.Str("report", "leave"))...)
-	if up := n.upstream.Load(); up != nil && up.Instance == instance {
-		up.incarnation.markDeparted(n.announced.departure(instance))
-		n.setDraining(true, causeUpstream)
+	if effect.Departed {
+		n.recordDeparture(id, report)
 	}
+	n.drainWithUpstream(false)
+	return effect.Departed
 }
 
-// adoptInstance replaces the incarnation of the upstream by the one that the upstream
-// named when it rejected a call meant for another. A restarted upstream answers
-// before it announces itself, and until then it would reject every call to it.
+// adoptInstance handles the rejection of a call that was meant for another incarnation than
+// the one that runs. That one replaces the upstream in use if it has announced itself before.
+// Otherwise the upstream gets no calls until the next announcement: after a crash its address
+// may have been given to a server of another service.
 func (n *Node) adoptInstance(up *upstream, instance string) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	n.log.Emit(observe.UpstreamMisdirected, append(incarnationFields(up.Instance, up.Born), observe.Str("found", instance))...)
 	if instance == "" || n.upstream.Load() != up {
 		return
 	}
-	a := up.Announcement
-	a.Instance, a.Born = instance, 0
-	n.replaceUpstream(a)
+	n.log.Emit(observe.UpstreamMisdirected, append(incarnationFields(up.id()), observe.Str("found", instance))...)
+	n.incarnations.Misdirected(instance, n.now())
+	if id, _ := n.incarnations.Current(); id != up.id() {
+		a := up.Announcement
+		a.Instance, a.Born, a.Sequence = id.Name, id.Born, n.incarnations.Sequence(id)
+		n.replaceUpstream(a)
+	}
+	n.drainWithUpstream(true)
+}
+
+// drainWithUpstream begins a drain if the incarnation in use may get no calls, and ends that
+// drain if it may. The caller holds announceMu.
+func (n *Node) drainWithUpstream(atOnce bool) {
+	if _, inUse := n.incarnations.Current(); inUse {
+		n.setDraining(causeUpstream, !n.incarnations.Available(), atOnce)
+	}
 }
 
 // replaceUpstream makes a the current upstream. The caller holds announceMu.
@@ -152,7 +183,7 @@
 		next.transport = newTransport(&countingNetwork{Network: n.network, opened: n.metrics.UpstreamConns}, a.Connections)
 		next.incarnation = newIncarnation()
 	}
-	next.incarnation.markDeparted(n.announced.departure(a.Instance))
+	next.incarnation.markDeparted(n.incarnations.LeftAt(a.incarnation()))
 	n.upstream.Store(next)
 	if old != nil && old.transport != next.transport {
 		old.transport.CloseIdleConnections()
@@ -174,108 +205,11 @@
 	}
 }
 
-func (up *upstream) sameIncarnation(a Announcement) bool {
-	return up.Instance == a.Instance && up.Born == a.Born
-}
-
-// maxInstances is the maximum number of Instance names that are remembered.
-const maxInstances = 16
-
-// reorderWindow is the time that must pass after the last announcement of an incarnation
-// before an incarnation with an earlier start time may replace it. Upstreams announce
-// themselves every second or two, and a delayed announcement is some seconds late.
-//
-// It handles a VM whose clock is set back before its upstream restarts: the start
-// time of the new incarnation then seems to precede that of the old one. If earlier
-// start times were rejected for ever, the upstream would get no calls.
-const reorderWindow = 6 * time.Second
-
-// announcedInstances remembers the latest announcement of each upstream by its
-// Instance.
-//
-// It guards against an announcement that is delayed by the network while its sender
-// crashes and a new incarnation announces itself at the same address. The late
-// announcement would replace the new one, and calls would be refused until the next
-// announcement. Sequences distinguish late announcements from new ones, and start
-// times distinguish the incarnations of an upstream that restarts under the same
-// name. An incarnation that has left never comes back.
-type announcedInstances struct {
-	incarnations map[string]announcedIncarnation
-	// order lists the names in the order of their first announcement.
-	order []string
-}
-
-// announcedIncarnation is the state of the latest incarnation under one name.
-type announcedIncarnation struct {
-	born     int64
-	sequence uint64
-	lastSeen time.Time
-	// departedAt is when the incarnation first reported that it leaves.
-	departedAt time.Time
-}
-
-// departure returns when the latest incarnation of a name reported that it leaves, the zero
-// time if it did not.
-func (i *announcedInstances) departure(instance string) time.Time {
-	return i.incarnations[instance].departedAt
-}
-
-// departedSequence is the sequence of an incarnation that has left; it is above every
-// announced sequence.
-const departedSequence = ^uint64(0)
-
-// fresh reports whether a is newer than the last announcement under its name, and
-// records it if so. Announcements without a name are always fresh.
-func (i *announcedInstances) fresh(a Announcement, now time.Time) bool {
-	if a.Instance == "" {
-		return true
-	}
-	last, known := i.incarnations[a.Instance]
-	if known && a.Born < last.born && now.Sub(last.lastSeen) < reorderWindow {
-		return false
-	}
-	if known && a.Born == last.born && a.Sequence <= last.sequence {
-		return false
-	}
-	next := announcedIncarnation{born: a.Born, sequence: a.Sequence, lastSeen: now}
-	if known && a.Born == last.born {
-		next.departedAt = last.departedAt
-	}
-	if a.Draining && next.departedAt.IsZero() {
-		next.departedAt = now
-	}
-	i.set(a.Instance, next)
-	return true
+// incarnation returns the incarnation that the announcement is about.
+func (a Announcement) incarnation() incarnation.ID {
+	return incarnation.ID{Name: a.Instance, Born: a.Born}
 }
 
-// recordDeparture records that an incarnation has left, and reports whether it is the
-// latest incarnation under its name. A born of 0 means the latest one.
-func (i *announcedInstances) recordDeparture(instance string, born int64, now time.Time) bool {
-	last := i.incarnations[instance]
-	if born != 0 && born < last.born {
-		return false
-	}
-	// The leave report counts as an announcement of this incarnation: a silence
-	// before it is irrelevant, and a delayed announcement of an earlier incarnation
-	// must not replace it.
-	next := announcedIncarnation{born: max(born, last.born), sequence: departedSequence, lastSeen: now, departedAt: now}
-	if next.born == last.born && !last.departedAt.IsZero() {
-		next.departedAt = last.departedAt
-	}
-	i.set(instance, next)
-	return true
-}
+func (up *upstream) id() incarnation.ID { return up.Announcement.incarnation() }
 
-func (i *announcedInstances) set(instance string, l announcedIncarnation) {
-	if i.incarnations == nil {
-		i.incarnations = make(map[string]announcedIncarnation)
-	}
-	if _, known := i.incarnations[instance]; !known {
-		i.order = append(i.order, instance)
-		if len(i.order) > maxInstances {
-			delete(i.incarnations, i.order[0])
-			i.order = i.order[1:]
-		}
-	}
-	i.incarnations[instance] = l
-}
+func (up *upstream) sameIncarnation(a Announcement) bool { return up.id() == a.incarnation() }
--- a/node/upstreamnotice.go
+++ b/node/upstreamnotice.go
@@ -37,7 +37,7 @@
 	limitChanged, leaves := up.incarnation.notices.record(up.Instance, a, n.now())
 	if leaves {
 		n.log.Emit(observe.UpstreamLeaving, observe.Str("instance", up.Instance))
-		n.Leaving(up.Instance, up.Born)
+		n.takeDeparture(up.id(), "response")
 	}
 	if limitChanged {
 		n.applyLimit(up)
@@ -78,7 +78,7 @@
 	limitChanged, leaves := up.incarnation.notices.adopt(heard, n.now())
 	if leaves {
 		n.log.Emit(observe.UpstreamLeaving, observe.Str("instance", up.Instance))
-		n.Leaving(up.Instance, up.Born)
+		n.takeDeparture(up.id(), "member")
 	}
 	if limitChanged {
 		n.applyLimit(up)
