--- a/admission/state.go
+++ b/admission/state.go
@@ -86,6 +86,19 @@
 // their requests an attempt each.
 func (g *Gate) Drain() { g.draining.Store(true) }
 
+// RefuseQueued refuses the calls that are queued, with call.ReasonDraining. After Drain no
+// further call is queued.
+func (g *Gate) RefuseQueued() {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for w := g.queue.leastImportant(); w != nil; w = g.queue.leastImportant() {
+		g.queue.remove(w)
+		g.resolve(w, call.ReasonDraining, now)
+	}
+	g.clearQueuedFlag()
+}
+
 // Undrain admits calls again after Drain.
 func (g *Gate) Undrain() { g.draining.Store(false) }
 
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -18,8 +18,14 @@
 // acquireQueued implements Acquire for a call that found no free capacity.
 func (g *Gate) acquireQueued(ctx context.Context, r Request, v *visit, p *profileStats, now time.Duration) (Ticket, error) {
 	g.mu.Lock()
-	g.reclaimReserves()
 	shard := &g.shards[v.shard]
+	if g.draining.Load() {
+		// The gate was closed since precheck, and its queue may have been cleared.
+		g.mu.Unlock()
+		g.visits.Put(v)
+		return Ticket{}, g.refuse(shard, call.ReasonDraining, r)
+	}
+	g.reclaimReserves()
 	if g.queue.size == 0 && g.takeQueuedCapacity(now) {
 		g.mu.Unlock()
 		shard.admitted.Add(1)
--- a/node/drain.go
+++ b/node/drain.go
@@ -106,12 +106,16 @@
 }
 
 // closeGateFor closes the gate, unless the drain with this cause has ended in the meantime. The
-// caller holds drainMu.
+// calls in the queue are refused as well if the upstream may get no calls: it is sent none
+// later than maxDrainTime after it has reported that it leaves. The caller holds drainMu.
 func (n *Node) closeGateFor(cause drainCause) {
 	if n.drainCauses&cause == 0 {
 		return
 	}
 	n.gate.Drain()
+	if cause == causeUpstream {
+		n.gate.RefuseQueued()
+	}
 }
 
 // closeGate closes the gate, unless the drain was cancelled in the meantime.
