--- a/incarnation/doc.go
+++ b/incarnation/doc.go
@@ -13,5 +13,6 @@
 //   - An id that no heartbeat has announced is never used.
 //   - If a report leaves open which incarnation is running, none gets calls.
 //
-// The Tracker does no I/O, takes the time as an argument and is not safe for concurrent use.
+// A [Log] stores the departures, so that they bind the next process of the node as well. The
+// Tracker does no I/O, takes the time as an argument and is not safe for concurrent use.
 package incarnation
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollengauge.dev/config"
+	"pollengauge.dev/standin"
 )
 
 // namedUpstream is an upstream that may restart as another incarnation. It rejects calls
@@ -246,3 +247,44 @@
 routes:
   - {name: browse, host: desk.example, pathPrefix: /browse/, profile: read, shares: [{service: desk, weight: 1}]}
 `
+
+// Guards against a departure that binds nobody because the platform is down when it is
+// reported or when the node starts again, and against an acknowledgement that waits for it.
+func TestDeparturesWhileThePlatformIsDown(t *testing.T) {
+	for name, test := range map[string]struct{ downAtLeave, downAtStart bool }{
+		"at the leave": {downAtLeave: true},
+		"at the start": {downAtStart: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, func(f *fleet) {
+				platform := standin.NewMemory()
+				f.store = platform
+				up := newNamedUpstream("i-1")
+				n := f.addRouted("vm", "desk", 10, up.serve, fixedPorts)
+				a := n.upstream.Load().Announcement
+				f.announceAs(n, a, "i-1", 0, 5)
+				f.settle()
+				platform.SetFaults(standin.Faults{Down: test.downAtLeave})
+				reported := time.Now()
+				n.Leaving("i-1", 0)
+				f.c.Check(time.Since(reported) <= storeWait, qt.IsTrue, qt.Commentf("acknowledged after %s", time.Since(reported)))
+				f.askFor(n, 3*time.Second)
+				f.c.Check(up.lastRunAfter("i-1", reported) <= maxDrainTime, qt.IsTrue)
+				platform.SetFaults(standin.Faults{})
+				time.Sleep(time.Second)
+				n.Close()
+				platform.SetFaults(standin.Faults{Down: test.downAtStart})
+				next := f.startAgain("vm")
+				heard := time.Now()
+				f.announceAs(next, a, "i-1", 0, 4)
+				f.c.Check(time.Since(heard) <= storeWait, qt.IsTrue, qt.Commentf("acknowledged after %s", time.Since(heard)))
+				time.Sleep(time.Second)
+				platform.SetFaults(standin.Faults{})
+				f.settle()
+				back := time.Now()
+				f.askFor(next, 3*time.Second)
+				f.c.Check(up.lastRunAfter("i-1", back) <= 0, qt.IsTrue, qt.Commentf("a call reached it %s after the platform was back", up.lastRunAfter("i-1", back)))
+			})
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -108,6 +108,7 @@
 	announceMu sync.Mutex
 	// incarnations is guarded by announceMu.
 	incarnations incarnation.Tracker
+	departures   *departureLog
 	drainMu      sync.Mutex
 	// drainCauses and drainTimers are guarded by drainMu.
 	drainCauses drainCause
@@ -203,6 +204,7 @@
 			return nil, err
 		}
 	}
+	n.departures = newDepartureLog(n.log)
 	return n, nil
 }
 
@@ -315,6 +317,7 @@
 	n.done.Go(func() { n.runWitness(ctx) })
 	n.done.Go(func() { n.runRecordStore(ctx) })
 	n.done.Go(func() { n.followRestores(ctx) })
+	n.startDepartures(ctx)
 	n.log.Emit(observe.NodeStarted, observe.Str("id", n.id), observe.Str("zone", n.settings.Zone), observe.Str("region", n.settings.Region))
 	return nil
 }
--- a/node/storerestored.go
+++ b/node/storerestored.go
@@ -41,12 +41,13 @@
 }
 
 // storeAgain stores again what is this project's. Only the first members do so, so that the
-// number of calls doesn't grow with the fleet. The size of the fleet follows at its next
+// number of calls doesn't grow with the fleet; departures are few, and each node stores its own. The size of the fleet follows at its next
 // comparison.
 func (n *Node) storeAgain(ctx context.Context) {
 	n.quotas.mu.Lock()
 	n.quotas.storedSize = 0
 	n.quotas.mu.Unlock()
+	n.storeDeparturesAgain()
 	if !n.keepsBootstraps() {
 		return
 	}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -82,7 +82,8 @@
 // Announce takes an announcement of the upstream on this VM, like a POST to the admin
 // API. It may be called at any time after Start. While the address, the connection
 // limit and the incarnation stay the same, the transport is reused, so that a
-// repeated announcement drops no connection.
+// repeated announcement drops no connection. The first one that reports a departure is
+// stored before Announce returns, if the platform responds in time.
 func (n *Node) Announce(a Announcement) error {
 	if n.usesDialect() {
 		a.Service = call.ServiceToken(a.Service)
@@ -93,7 +94,10 @@
 	if a.Connections == 0 {
 		a.Connections = n.settings.UpstreamConns
 	}
-	n.takeHeartbeat(a)
+	n.awaitRestored(a)
+	if n.takeHeartbeat(a) {
+		n.departures.awaitStored()
+	}
 	return nil
 }
 
@@ -121,9 +125,12 @@
 
 // Leaving reports that an incarnation of the upstream takes no new calls and is about
 // to stop. It may be repeated. The incarnation gets no calls from then on, whichever one is in
-// use. born is as in Announcement.
+// use. born is as in Announcement. The departure is stored before Leaving returns, if the
+// platform responds in time.
 func (n *Node) Leaving(instance string, born int64) {
-	n.takeDeparture(incarnation.ID{Name: instance, Born: born}, "leave")
+	if n.takeDeparture(incarnation.ID{Name: instance, Born: born}, "leave") {
+		n.departures.awaitStored()
+	}
 }
 
 // takeDeparture takes a report that an incarnation leaves, and reports whether it is the
