--- a/cmd/pollengauge/soak/fleet_test.go
+++ b/cmd/pollengauge/soak/fleet_test.go
@@ -89,7 +89,7 @@
 
 func (f *fleet) newUpstream(v *vm, service string) *upstream {
 	u := &upstream{
-		record: f.record, vm: v.number, service: service, addr: v.at(portUpstream),
+		record: f.record, vm: v.number, service: service, zone: v.zone, addr: v.at(portUpstream),
 		outbound: v.at(portOutbound), control: v.at(portControl),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: upstreamSlots, DisableCompression: true}},
 	}
--- a/cmd/pollengauge/soak/heartbeat_test.go
+++ b/cmd/pollengauge/soak/heartbeat_test.go
@@ -48,8 +48,8 @@
 	body, _ := json.Marshal(map[string]any{
 		"born":        b.born.UnixMilli(),
 		"address":     u.addr,
-		"information": map[string]any{"service": u.service, "slots": upstreamSlots},
-		"status":      map[string]any{"state": b.state, "sequence": b.sequence},
+		"information": map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": upstreamSlots},
+		"status":      map[string]any{"state": b.state, "sequence": b.sequence, "cold_remaining_s": 0},
 	})
 	ctx, cancel := context.WithTimeout(ctx, heartbeatWait)
 	defer cancel()
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -45,6 +45,7 @@
 	record  *record
 	vm      int
 	service string
+	zone    string
 	addr    string
 	// outbound and control are the addresses of its node.
 	outbound, control string
