--- a/incarnation/reference_test.go
+++ b/incarnation/reference_test.go
@@ -94,7 +94,8 @@
 			taken := !trackers[name].Heartbeat(Heartbeat{ID: id, Sequence: sequence}, now).Ignored
 			c.Assert(taken, qt.Equals, want[name].heartbeat(start, sequence, now), qt.Commentf("step %d: start %d, sequence %d", step, start, sequence))
 		case stepLeave:
-			taken := !trackers[name].Leave(id, now).Ignored
+			_, effect := trackers[name].Leave(id, now)
+			taken := !effect.Ignored
 			c.Assert(taken, qt.Equals, want[name].leave(start, now), qt.Commentf("step %d: start %d leaves", step, start))
 		case stepWait:
 			now = now.Add(time.Duration(script[step+1]) * ReorderWindow / 8)
--- a/incarnation/tracker.go
+++ b/incarnation/tracker.go
@@ -120,18 +120,18 @@
 	return current == nil || now.Sub(current.lastHeard) >= ReorderWindow
 }
 
-// Leave takes the report that an incarnation has left. A Born of 0 means the latest one
-// under its name. The incarnation never comes into use again.
-func (t *Tracker) Leave(id ID, now time.Time) Effect {
+// Leave takes the report that an incarnation has left, and returns which one that is. A Born
+// of 0 means the latest one under its name. The incarnation never comes into use again.
+func (t *Tracker) Leave(id ID, now time.Time) (ID, Effect) {
 	if id.Name == "" {
-		return Effect{Ignored: true}
+		return id, Effect{Ignored: true}
 	}
 	if latest, r := t.latest(id.Name); r != nil && id.Born == 0 {
 		id = latest
 	}
 	r := t.record(id)
 	if r.sequence == finalSequence {
-		return Effect{Ignored: true}
+		return id, Effect{Ignored: true}
 	}
 	first := !r.leaving
 	if first {
@@ -144,7 +144,7 @@
 	if disputed {
 		t.disputedAt = now
 	}
-	return Effect{Departed: first, Disputed: disputed}
+	return id, Effect{Departed: first, Disputed: disputed}
 }
 
 // Misdirected takes the answer of a process that runs in place of the incarnation in use
--- a/node/admin.go
+++ b/node/admin.go
@@ -218,6 +218,7 @@
 	var setting *SettingError
 	var bad *BodyError
 	var tooLarge *http.MaxBytesError
+	var unstored *DepartureUnstoredError
 	switch {
 	case errors.As(err, &settings):
 		body.Problems = settings.Problems
@@ -229,6 +230,8 @@
 		status = http.StatusRequestEntityTooLarge
 	case errors.As(err, &bad):
 		status = http.StatusBadRequest
+	case errors.As(err, &unstored):
+		status = http.StatusServiceUnavailable
 	}
 	event := observe.BadRequest
 	if tooLarge != nil {
--- a/node/announcements_test.go
+++ b/node/announcements_test.go
@@ -16,7 +16,7 @@
 		n := f.addRouted("vm", "desk", 10, echo)
 		late := n.upstream.Load().Announcement
 		late.Instance, late.Born, late.Sequence = "i", 1000, 7
-		n.Leaving("i", 9000)
+		_ = n.Leaving("i", 9000)
 		f.c.Assert(n.Announce(late), qt.IsNil)
 		f.c.Check(n.upstream.Load().Born, qt.Not(qt.Equals), int64(1000))
 	})
--- a/node/departures.go
+++ b/node/departures.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	// known.
 	wanted, restored chan struct{}
 	want             sync.Once
+	// unverified has the incarnations of which one heartbeat was heard while the stored
+	// departures are not known. The node's announceMu guards it.
+	unverified map[incarnation.ID]uint64
 
 	mu sync.Mutex
 	// unstored are the departures to store, nil if there are none. stored is closed once
@@ -49,6 +53,8 @@
 		changed:  make(chan struct{}, 1),
 		wanted:   make(chan struct{}),
 		restored: make(chan struct{}),
+
+		unverified: make(map[incarnation.ID]uint64),
 	}
 }
 
@@ -69,21 +75,33 @@
 	}
 }
 
-// awaitStored waits until all departures are stored, but at most for storeWait.
-func (l *departureLog) awaitStored() {
+// DepartureUnstoredError reports that a departure could not be stored in time. It binds this
+// process, but would not bind the next one, so it may not be acknowledged yet. The report can
+// be repeated; the node goes on trying to store it.
+type DepartureUnstoredError struct{ Instance string }
+
+// Error implements error.
+func (e *DepartureUnstoredError) Error() string {
+	return "the departure of " + strconv.Quote(e.Instance) + " is in force and not stored yet: repeat the report"
+}
+
+// awaitStored waits until the departure of an incarnation is stored, but at most for storeWait.
+// The error is a *DepartureUnstoredError.
+func (l *departureLog) awaitStored(id incarnation.ID) error {
 	l.mu.Lock()
 	unstored, stored := l.unstored, l.stored
 	l.mu.Unlock()
-	if unstored == nil {
-		return
+	if !slices.ContainsFunc(unstored, func(d incarnation.Departure) bool { return d.ID == id }) {
+		return nil
 	}
 	timer := time.NewTimer(storeWait)
 	defer timer.Stop()
 	select {
 	case <-stored:
+		return nil
 	case <-timer.C:
-		last := unstored[len(unstored)-1]
-		l.events.Emit(observe.DepartureUnstored, incarnationFields(last.ID)...)
+		l.events.Emit(observe.DepartureUnstored, incarnationFields(id)...)
+		return &DepartureUnstoredError{Instance: id.Name}
 	}
 }
 
@@ -170,29 +188,39 @@
 const firstSequence = 1
 
 // awaitRestored waits until the departures are known that an earlier process of this node
-// has recorded, but at most for storeWait. They are read when they are first needed.
+// has recorded, but at most for storeWait. They are read when they are first needed. It reports
+// whether the announcement may be taken.
 //
 // The upstream may have left before this process began; a delayed heartbeat from before that
 // would bring it back into use. An upstream that has just started has not left, so that the
-// first start of a fleet reads nothing.
-func (n *Node) awaitRestored(a Announcement) {
-	if a.Instance == "" || a.Sequence <= firstSequence {
-		return
+// first start of a fleet reads nothing. While the platform doesn't respond, an upstream
+// comes into use with its second heartbeat: one that has left sends no more.
+func (n *Node) awaitRestored(a Announcement) (mayTake bool) {
+	if a.Instance == "" || a.Draining || a.Sequence <= firstSequence {
+		return true
 	}
 	l := n.departures
 	l.want.Do(func() { close(l.wanted) })
 	select {
 	case <-l.restored:
-		return
+		return true
 	default:
 	}
 	timer := time.NewTimer(storeWait)
 	defer timer.Stop()
 	select {
 	case <-l.restored:
+		return true
 	case <-timer.C:
-		n.log.Emit(observe.DeparturesUnknown, incarnationFields(a.incarnation())...)
 	}
+	n.announceMu.Lock()
+	defer n.announceMu.Unlock()
+	first, heard := l.unverified[a.incarnation()]
+	if !heard {
+		l.unverified[a.incarnation()] = a.Sequence
+	}
+	n.log.Emit(observe.DeparturesUnknown, append(incarnationFields(a.incarnation()), observe.Int64("sequence", int64(a.Sequence)), observe.Bool("taken", heard && a.Sequence > first))...)
+	return heard && a.Sequence > first
 }
 
 // restoreDepartures reads the stored departures, and retries until it succeeds or ctx ends.
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -90,8 +90,8 @@
 // its node: a heartbeat from before the leave reaches the next process.
 func TestDepartureOutlivesItsProcess(t *testing.T) {
 	for name, end := range map[string]func(f *fleet, n *Node){
-		"killed after the leave": func(_ *fleet, n *Node) {
-			n.Leaving("i-1", 0)
+		"killed after the leave": func(f *fleet, n *Node) {
+			f.c.Check(n.Leaving("i-1", 0), qt.IsNil)
 			n.Close()
 		},
 		"killed after a draining heartbeat": func(f *fleet, n *Node) {
@@ -104,7 +104,7 @@
 			ended := make(chan error, 1)
 			go func() { ended <- n.Drain(f.t.Context()) }()
 			time.Sleep(1500 * time.Millisecond)
-			n.Leaving("i-1", 0)
+			f.c.Check(n.Leaving("i-1", 0), qt.IsNil)
 			f.c.Check(<-ended, qt.IsNil)
 		},
 	} {
@@ -151,7 +151,7 @@
 				up.become("left")
 				f.announceAs(n, a, "left", 2000, 1)
 				f.c.Check(f.askRouted(n, "/browse/x", "before").status, qt.Equals, http.StatusOK)
-				n.Leaving("left", 2000)
+				f.c.Check(n.Leaving("left", 2000), qt.IsNil)
 				left := time.Now()
 				time.Sleep(700 * time.Millisecond)
 				message(f, n, a)
@@ -175,7 +175,7 @@
 		f.settle()
 		// The clock of the VM is set back, and the upstream restarts.
 		f.announceAs(n, a, "i", 5000, 1)
-		n.Leaving("i", 5000)
+		f.c.Check(n.Leaving("i", 5000), qt.IsNil)
 		time.Sleep(maxDrainTime)
 		f.askFor(n, 4*time.Second)
 		f.c.Check(up.runsOf("i"), qt.Equals, 0)
@@ -228,7 +228,7 @@
 			})
 		}
 		time.Sleep(1500 * time.Millisecond)
-		n.Leaving("i-1", 0)
+		f.c.Check(n.Leaving("i-1", 0), qt.IsNil)
 		left := time.Now()
 		callers.Wait()
 		mu.Lock()
@@ -248,13 +248,33 @@
   - {name: browse, host: desk.example, pathPrefix: /browse/, profile: read, shares: [{service: desk, weight: 1}]}
 `
 
-// Guards against a departure that binds nobody because the platform is down when it is
-// reported or when the node starts again, and against an acknowledgement that waits for it.
-func TestDeparturesWhileThePlatformIsDown(t *testing.T) {
-	for name, test := range map[string]struct{ downAtLeave, downAtStart bool }{
-		"at the leave": {downAtLeave: true},
-		"at the start": {downAtStart: true},
-	} {
+// Guards against a departure that is acknowledged although the platform could not store it: the
+// next process would not know of it.
+func TestDepartureIsAcknowledgedOnceStored(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		platform := standin.NewMemory()
+		f.store = platform
+		up := newNamedUpstream("i-1")
+		n := f.addRouted("vm", "desk", 10, up.serve)
+		a := n.upstream.Load().Announcement
+		f.announceAs(n, a, "i-1", 0, 5)
+		f.settle()
+		platform.SetFaults(standin.Faults{Down: true})
+		reported := time.Now()
+		f.c.Check(n.Leaving("i-1", 0), qt.ErrorAs, new(*DepartureUnstoredError))
+		f.c.Check(time.Since(reported) <= storeWait, qt.IsTrue, qt.Commentf("answered after %s", time.Since(reported)))
+		f.askFor(n, 3*time.Second)
+		f.c.Check(up.lastRunAfter("i-1", reported) <= maxDrainTime, qt.IsTrue, qt.Commentf("the departure is in force"))
+		f.c.Check(n.Leaving("i-1", 0), qt.ErrorAs, new(*DepartureUnstoredError))
+		platform.SetFaults(standin.Faults{})
+		f.c.Check(n.Leaving("i-1", 0), qt.IsNil)
+	})
+}
+
+// Guards against an upstream that has left and comes back into use because the platform is down
+// when its node starts again, and against one that is running and gets no calls for that.
+func TestNodeStartsWhileThePlatformIsDown(t *testing.T) {
+	for name, left := range map[string]bool{"the upstream has left": true, "the upstream is running": false} {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, func(f *fleet) {
 				platform := standin.NewMemory()
@@ -264,26 +284,25 @@
 				a := n.upstream.Load().Announcement
 				f.announceAs(n, a, "i-1", 0, 5)
 				f.settle()
-				platform.SetFaults(standin.Faults{Down: test.downAtLeave})
-				reported := time.Now()
-				n.Leaving("i-1", 0)
-				f.c.Check(time.Since(reported) <= storeWait, qt.IsTrue, qt.Commentf("acknowledged after %s", time.Since(reported)))
-				f.askFor(n, 3*time.Second)
-				f.c.Check(up.lastRunAfter("i-1", reported) <= maxDrainTime, qt.IsTrue)
-				platform.SetFaults(standin.Faults{})
-				time.Sleep(time.Second)
+				if left {
+					f.c.Check(n.Leaving("i-1", 0), qt.IsNil)
+				}
 				n.Close()
-				platform.SetFaults(standin.Faults{Down: test.downAtStart})
+				platform.SetFaults(standin.Faults{Down: true})
 				next := f.startAgain("vm")
 				heard := time.Now()
 				f.announceAs(next, a, "i-1", 0, 4)
 				f.c.Check(time.Since(heard) <= storeWait, qt.IsTrue, qt.Commentf("acknowledged after %s", time.Since(heard)))
-				time.Sleep(time.Second)
-				platform.SetFaults(standin.Faults{})
-				f.settle()
-				back := time.Now()
-				f.askFor(next, 3*time.Second)
-				f.c.Check(up.lastRunAfter("i-1", back) <= 0, qt.IsTrue, qt.Commentf("a call reached it %s after the platform was back", up.lastRunAfter("i-1", back)))
+				f.askFor(next, time.Second)
+				f.c.Check(up.runsOf("i-1"), qt.Equals, 0, qt.Commentf("after the first heartbeat"))
+				if left {
+					platform.SetFaults(standin.Faults{})
+					f.settle()
+				} else {
+					f.announceAs(next, a, "i-1", 0, 6)
+				}
+				f.askFor(next, time.Second)
+				f.c.Check(up.runsOf("i-1") == 0, qt.Equals, left, qt.Commentf("%d runs", up.runsOf("i-1")))
 			})
 		})
 	}
--- a/node/upstream.go
+++ b/node/upstream.go
@@ -82,8 +82,9 @@
 // Announce takes an announcement of the upstream on this VM, like a POST to the admin
 // API. It may be called at any time after Start. While the address, the connection
 // limit and the incarnation stay the same, the transport is reused, so that a
-// repeated announcement drops no connection. The first one that reports a departure is
-// stored before Announce returns, if the platform responds in time.
+// repeated announcement drops no connection. A departure that it reports is in force at once,
+// and stored when Announce returns nil; if the platform doesn't respond in time, the error is a
+// *DepartureUnstoredError.
 func (n *Node) Announce(a Announcement) error {
 	if n.usesDialect() {
 		a.Service = call.ServiceToken(a.Service)
@@ -94,23 +95,25 @@
 	if a.Connections == 0 {
 		a.Connections = n.settings.UpstreamConns
 	}
-	n.awaitRestored(a)
-	if n.takeHeartbeat(a) {
-		n.departures.awaitStored()
+	if !n.awaitRestored(a) {
+		return nil
+	}
+	n.takeHeartbeat(a)
+	if a.Draining {
+		return n.departures.awaitStored(a.incarnation())
 	}
 	return nil
 }
 
-// takeHeartbeat takes an announcement and reports whether it is the first one of a
-// departure.
-func (n *Node) takeHeartbeat(a Announcement) (departed bool) {
+// takeHeartbeat takes an announcement.
+func (n *Node) takeHeartbeat(a Announcement) {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
 	id := a.incarnation()
 	effect := n.incarnations.Heartbeat(incarnation.Heartbeat{ID: id, Sequence: a.Sequence, Leaving: a.Draining}, n.now())
 	if effect.Ignored {
 		n.log.Emit(observe.AnnouncementStale, append(incarnationFields(id), observe.Int64("sequence", int64(a.Sequence)))...)
-		return false
+		return
 	}
 	if effect.Departed {
 		n.recordDeparture(id, "heartbeat")
@@ -120,25 +123,22 @@
 	inUse := old != nil && old.sameIncarnation(a)
 	n.replaceUpstream(a)
 	n.drainWithUpstream(!inUse)
-	return effect.Departed
 }
 
 // Leaving reports that an incarnation of the upstream takes no new calls and is about
 // to stop. It may be repeated. The incarnation gets no calls from then on, whichever one is in
-// use. born is as in Announcement. The departure is stored before Leaving returns, if the
-// platform responds in time.
-func (n *Node) Leaving(instance string, born int64) {
-	if n.takeDeparture(incarnation.ID{Name: instance, Born: born}, "leave") {
-		n.departures.awaitStored()
-	}
+// use. born is as in Announcement. The departure is in force at once, and stored when Leaving
+// returns nil; if the platform doesn't respond in time, the error is a *DepartureUnstoredError.
+func (n *Node) Leaving(instance string, born int64) error {
+	return n.departures.awaitStored(n.takeDeparture(incarnation.ID{Name: instance, Born: born}, "leave"))
 }
 
-// takeDeparture takes a report that an incarnation leaves, and reports whether it is the
-// first one.
-func (n *Node) takeDeparture(id incarnation.ID, report string) (departed bool) {
+// takeDeparture takes a report that an incarnation leaves, and returns the incarnation, with
+// its start time if that is known.
+func (n *Node) takeDeparture(id incarnation.ID, report string) incarnation.ID {
 	n.announceMu.Lock()
 	defer n.announceMu.Unlock()
-	effect := n.incarnations.Leave(id, n.now())
+	id, effect := n.incarnations.Leave(id, n.now())
 	if effect.Disputed {
 		current, _ := n.incarnations.Current()
 		n.log.Emit(observe.DepartureDisputed, append(incarnationFields(id), observe.Int64("current_born", current.Born))...)
@@ -147,7 +147,7 @@
 		n.recordDeparture(id, report)
 	}
 	n.drainWithUpstream(false)
-	return effect.Departed
+	return id
 }
 
 // adoptInstance handles the rejection of a call that was meant for another incarnation than
--- a/node/upstreamcrash_test.go
+++ b/node/upstreamcrash_test.go
@@ -51,7 +51,7 @@
 		go func() {
 			time.Sleep(runTime / 2)
 			up := n.upstream.Load()
-			n.Leaving(up.Instance, up.Born)
+			_ = n.Leaving(up.Instance, up.Born)
 		}()
 		f.askRouted(n, "/file/"+fatalPart, "a")
 		f.c.Check(m.crashCount(), qt.Equals, 1)
