--- a/cmd/pollengauge/soak/heartbeat_test.go
+++ b/cmd/pollengauge/soak/heartbeat_test.go
@@ -14,7 +14,7 @@
 	defer tick.Stop()
 	for {
 		u.mu.Lock()
-		up := u.server != nil
+		up := u.server != nil && !u.silent
 		u.sequence++
 		b := u.report()
 		u.mu.Unlock()
--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -206,8 +206,10 @@
 // schedulingDelay is the delay that the scheduler of a shared machine may add to a bound.
 const schedulingDelay = 500 * time.Millisecond
 
-// drainingUpstreamsGetNothing checks that a draining upstream runs no request once the drain
-// time has passed since its draining heartbeat was acknowledged.
+// drainingUpstreamsGetNothing checks that an upstream runs no request once the drain time has
+// passed since its draining heartbeat or its leave call was acknowledged. That binds the
+// processes of its VM that start later, too. A paused process may send late what it had
+// admitted, and a platform that was restored knows of no departure.
 func (j *judgement) drainingUpstreamsGetNothing() {
 	type incarnation struct {
 		instance string
@@ -221,7 +223,7 @@
 	}
 	for _, x := range j.runs {
 		l, ok := left[incarnation{x.instance, x.incarnation}]
-		if ok && x.executed && x.at.After(l.at.Add(j.drain+schedulingDelay)) && j.calm(x.vm, l.at, x.at) {
+		if ok && x.executed && x.at.After(l.at.Add(j.drain+schedulingDelay)) && !j.forgets(x.vm, l.at, x.at, pauseNode) && !j.forgets(everyVM, l.at, x.at, restoreStore) {
 			j.add("drain", "%s got %s %s after its draining was acknowledged", x.instance, x.id, x.at.Sub(l.at))
 		}
 	}
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -45,6 +45,7 @@
 	fatalRequest    fault = "fatal-request"
 	limitUpstream   fault = "limit-upstream"
 	leaveByAnswer   fault = "leave-by-answer"
+	leaveByCall     fault = "leave-by-call"
 	restoreStore    fault = "restore-store"
 	// growConfig is not in the list of drawn faults: each plan has the same number
 	// of growths.
@@ -56,12 +57,12 @@
 	faultyUpstream, cutStore, cutPeers, cutOneWay, silenceLinks, resetLinks, delayLinks, storeDown, storeSlow,
 	storeLoses, storeForgets, storePaused, changeConfig, killAll,
 	restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer,
-	restoreStore,
+	restoreStore, leaveByCall,
 }
 
 // inEveryPlan are faults that each plan contains at least once, so that their checkers
 // always have something to judge.
-var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer, restoreStore}
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer, restoreStore, leaveByCall}
 
 // step is one fault of a plan.
 type step struct {
@@ -209,6 +210,8 @@
 		v.signal(syscall.SIGHUP, false)
 	case rewriteSettings:
 		f.check(v.writeSettings(int(s.at)))
+	case leaveByCall:
+		v.leaveByCall(ctx, s)
 	default:
 		f.injectAtUpstream(ctx, v, s)
 		f.injectAtLinks(ctx, v, s)
--- a/cmd/pollengauge/soak/planted_test.go
+++ b/cmd/pollengauge/soak/planted_test.go
@@ -89,6 +89,10 @@
 		{"request after the drain's bound", "drain", func(r *record) {
 			r.drainNotices = []drainNotice{{instance: "i-1", vm: 1, at: at.Add(-5 * time.Second)}}
 		}},
+		{"the same, after a restart of its node", "drain", func(r *record) {
+			r.drainNotices = []drainNotice{{instance: "i-1", vm: 1, at: at.Add(-5 * time.Second)}}
+			r.disturbed = []disturbed{{vm: 1, from: at.Add(-4 * time.Second), to: at, fault: killNode}, {vm: 1, from: at.Add(-6 * time.Second), to: at, fault: replaceUpstream}}
+		}},
 		{"request after the drain's bound to an upstream that stated its departure", "leaving", func(r *record) { depart(r, at) }},
 		{"the same, with its store cut off", "leaving", func(r *record) {
 			depart(r, at)
@@ -193,7 +197,7 @@
 }
 
 // A new incarnation of a process may start with an older configuration, and the drain
-// bound applies only while the VM that acknowledged the drain has no fault.
+// bound does not apply to a process that was paused.
 func TestAllowedCasesAreNoFindings(t *testing.T) {
 	c := qt.New(t)
 	at := time.Unix(1000, 0)
@@ -201,7 +205,7 @@
 	r.versions = []version{{number: 1, sentAt: at, probe: "web"}, {number: 2, sentAt: at, probe: "filing"}}
 	r.probes = []probe{{1, 1, at.Add(1), "filing"}, {1, 2, at.Add(2), "web"}, {1, 2, at.Add(3), "filing"}}
 	r.drainNotices = []drainNotice{{instance: "i-1", vm: 1, at: at.Add(-5 * time.Second)}}
-	r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at.Add(time.Second)}}
+	r.disturbed = []disturbed{{vm: 1, from: at.Add(-time.Second), to: at.Add(time.Second), fault: pauseNode}}
 	c.Check(judge(r, plantedTerms), qt.HasLen, 0)
 }
 
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -61,9 +61,11 @@
 	instance string
 	state    string
 	sequence int
-	server   *http.Server
-	slots    chan struct{}
-	starts   int
+	// silent is set once the incarnation sends no more heartbeats.
+	silent bool
+	server *http.Server
+	slots  chan struct{}
+	starts int
 	// born is when the incarnation started. sameID is true if it has the same
 	// instance id as the previous one.
 	born   time.Time
@@ -98,6 +100,7 @@
 	}
 	u.sameID, u.born = sameID, time.Now()
 	u.state = "ready"
+	u.silent = false
 	u.sequence = 0
 	u.slots = make(chan struct{}, upstreamSlots)
 	handler := &incarnation{upstream: u, instance: u.instance, number: u.starts, slots: u.slots}
