--- a/cmd/pollengauge/internal/cli/sidecar.go
+++ b/cmd/pollengauge/internal/cli/sidecar.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	_ "pollengauge.dev/cmd/pollengauge/internal/earlysignal" // the sidecar ignores SIGHUP until it catches it
 	"pollengauge.dev/observe"
 	"pollengauge.dev/platform"
 )
--- a/cmd/pollengauge/soak/reload_test.go
+++ b/cmd/pollengauge/soak/reload_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -61,3 +64,43 @@
 	data, err := os.ReadFile(filepath.Clean(path))
 	return err == nil && bytes.Contains(data, []byte(text))
 }
+
+// Guards against a SIGHUP that ends a process which has just started: before the process catches
+// the signal, it has its default action.
+func TestReloadJustAfterTheStartDoesNotEndTheProcess(t *testing.T) {
+	c := qt.New(t)
+	for range 5 {
+		process, err := startProgram(filepath.Join(c.TempDir(), "log"), "sidecar", "--settings", filepath.Join(c.TempDir(), "none"))
+		c.Assert(err, qt.IsNil)
+		for until := time.Now().Add(awaitTimeout); !handlesSIGHUP(process.Pid) && time.Now().Before(until); {
+			time.Sleep(50 * time.Microsecond)
+		}
+		_ = process.Signal(syscall.SIGHUP)
+		state, err := process.Wait()
+		c.Assert(err, qt.IsNil)
+		status, ok := state.Sys().(syscall.WaitStatus)
+		c.Check(ok && status.Signaled(), qt.IsFalse, qt.Commentf("%s", state))
+	}
+}
+
+// handlesSIGHUP reports whether a process ignores SIGHUP or has a handler for it, or has ended.
+func handlesSIGHUP(pid int) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return true
+	}
+	const bit = 1 << (int(syscall.SIGHUP) - 1)
+	for line := range strings.Lines(string(status)) {
+		mask, found := strings.CutPrefix(line, "SigIgn:")
+		if !found {
+			mask, found = strings.CutPrefix(line, "SigCgt:")
+		}
+		if !found {
+			continue
+		}
+		if set, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64); err == nil && set&bit != 0 {
+			return true
+		}
+	}
+	return strings.Contains(string(status), "Z (zombie)")
+}
