--- a/cmd/pollengauge/soak/leave_test.go
+++ b/cmd/pollengauge/soak/leave_test.go
@@ -4,11 +4,77 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"syscall"
+	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
+var leavesFlag = flag.Int("leaves", 0, "play this many fresh seeds of leaves and restarts alone, with the bound of a calm machine")
+
+// leaveFaults are the faults of a plan of leaves.
+var leaveFaults = []fault{leaveByCall, leaveByCall, leaveByCall, killNode, termNode, storeDown, storeSlow, storeLoses}
+
+// busyDrain is added to the drain time where the machine may be busy.
+const busyDrain = 3 * time.Second
+
+// Guards against requests to an upstream that has left, after the process that acknowledged it
+// was killed or told to exit, with the platform's store down at times.
+func TestAcknowledgedLeavesBindLaterProcesses(t *testing.T) {
+	if *leavesFlag == 0 {
+		playLeaves(t, shortSeed, false)
+		return
+	}
+	for range *leavesFlag {
+		playLeaves(t, rand.Uint64()%1_000_000, true)
+	}
+}
+
+func playLeaves(t *testing.T, seed uint64, calm bool) {
+	t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		c := qt.New(t)
+		folder, err := os.MkdirTemp(*keepFlag, fmt.Sprintf("leaves-%d-", seed))
+		c.Assert(err, qt.IsNil)
+		f, err := newFleet(t.Context(), folder, *vmsFlag, fleetTerms(false, *vmsFlag))
+		defer f.close()
+		c.Assert(err, qt.IsNil)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f.load(ctx, customersEach, thinkTime)
+		const span = 10 * time.Second
+		f.play(ctx, drawFrom(leaveFaults, []fault{leaveByCall}, seed, *vmsFlag, span))
+		pause(ctx, f.terms.drain+staysOn+heartbeatDelay)
+		recovery := append(f.awaitRecovery(ctx), f.awaitUpstreamsInUse(ctx)...)
+		stop()
+		c.Assert(f.failed, qt.IsNil)
+		bounds := f.terms
+		if !calm {
+			bounds.drain += busyDrain
+		}
+		f.record.mu.Lock()
+		j := newJudgement(f.record, bounds)
+		j.drainingUpstreamsGetNothing()
+		j.runsWereRequested()
+		j.unsafeRunsOnce()
+		f.record.mu.Unlock()
+		for _, v := range append(j.found, recovery...) {
+			c.Errorf("seed %d: %s", seed, v)
+		}
+		c.Logf("seed %d: %d departures acknowledged, %d runs", seed, len(f.record.drainNotices), len(f.record.runs))
+		if c.Failed() {
+			c.Logf("logs are in %s", folder)
+			return
+		}
+		c.Check(os.RemoveAll(folder), qt.IsNil)
+	})
+}
+
 // Times of an upstream that leaves without a draining heartbeat.
 const (
 	// leaveRepeats is how long it repeats a leave call that is not acknowledged.
--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -89,6 +89,11 @@
 
 // draw returns the plan of a seed: overlapping series of faults, sorted by time.
 func draw(seed uint64, vms int, span time.Duration) []step {
+	return drawFrom(faults, inEveryPlan, seed, vms, span)
+}
+
+// drawFrom is draw with some of the faults only.
+func drawFrom(faults, inEveryPlan []fault, seed uint64, vms int, span time.Duration) []step {
 	r := rand.New(rand.NewPCG(seed, 0))
 	var steps []step
 	for range int(span.Seconds() * faultsPerSecond) {
