--- a/node/conn.go
+++ b/node/conn.go
@@ -49,11 +49,42 @@
 type sealConn struct {
 	net.Conn
 	state atomic.Int32
+	// requests counts the requests that have got the connection. identified is the number of
+	// the last one whose answer stated which request it belongs to.
+	requests, identified atomic.Int64
+	// retired is set once the connection may get no further request.
+	retired atomic.Bool
 }
 
-// arm resets the state for a new request. The transport calls it (through
-// httptrace.GotConn) before it hands the request to its write loop.
-func (c *sealConn) arm() { c.state.Store(connUntouched) }
+// arm resets the state for a new request and returns its number on the connection. The
+// transport calls it (through httptrace.GotConn) before it hands the request to its write loop.
+func (c *sealConn) arm() (number int64) {
+	c.state.Store(connUntouched)
+	return c.requests.Add(1)
+}
+
+// exchange is one request on a connection. conn is nil if the connection can't be sealed.
+type exchange struct {
+	conn   *sealConn
+	number int64
+}
+
+// noteIdentified records that the answer stated which request it belongs to.
+func (e exchange) noteIdentified() { e.conn.identified.Store(e.number) }
+
+// mayBelong reports whether an answer that does not state which request it belongs to can be the
+// one to this request: the one before it on the connection did state its own. If it did not,
+// this one may be a second copy of it, which an upstream may send late.
+func (e exchange) mayBelong() bool { return e.conn.identified.Load() >= e.number-1 }
+
+// retire lets the connection get no further request. Unless it has one already, it is closed; a
+// request that gets it from the pool just now is proved unsent.
+func (e exchange) retire() {
+	e.conn.retired.Store(true)
+	if e.conn.requests.Load() == e.number {
+		_ = e.conn.Close()
+	}
+}
 
 // seal reports whether the current request is proved not to have been sent. If so, all
 // later writes fail.
@@ -63,6 +94,9 @@
 
 // Write implements net.Conn.
 func (c *sealConn) Write(p []byte) (int, error) {
+	if c.retired.Load() {
+		c.state.CompareAndSwap(connUntouched, connSealed)
+	}
 	if !c.state.CompareAndSwap(connUntouched, connWritten) && c.state.Load() == connSealed {
 		return 0, &SealedError{}
 	}
--- a/node/dialect.go
+++ b/node/dialect.go
@@ -70,6 +70,8 @@
 	Outcome call.Outcome
 	// Reason accompanies an outcome other than Complete.
 	Reason call.Reason
+	// Unidentified is set if the answer does not state which request it belongs to.
+	Unidentified bool
 	// Instance is the incarnation that answered, "" if the answer doesn't state it.
 	Instance string
 	// Load is the load that the answer reports. MalformedLoad is set if the answer
--- a/node/local.go
+++ b/node/local.go
@@ -90,11 +90,11 @@
 	out := l.node.upstreamRequest(up, l.visit, req)
 	l.node.countSent(up)
 	l.node.checkDeparture(up)
-	resp, unsent, err := l.node.roundTrip(l.visit.ctx, up.transport, out)
+	resp, on, unsent, err := l.node.roundTripOn(l.visit.ctx, up.transport, out)
 	if err != nil {
 		return l.failed(unsent, err)
 	}
-	return l.answered(up, resp)
+	return l.answered(up, resp, on)
 }
 
 // failed determines the outcome of a call to which the upstream sent no usable
@@ -136,7 +136,7 @@
 
 // answered determines the outcome of a call from the head of the response. The visit
 // stays open until the body has ended.
-func (l *localCall) answered(up *upstream, resp *http.Response) *answer {
+func (l *localCall) answered(up *upstream, resp *http.Response, on exchange) *answer {
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		// After a protocol switch the connection carries no HTTP. The node can't tell
 		// its regular end from a broken connection, so the slot would never be freed.
@@ -144,7 +144,7 @@
 		return l.failed(false, &SwitchedError{})
 	}
 	if l.node.usesDialect() {
-		return l.answeredInDialect(up, resp)
+		return l.answeredInDialect(up, resp, on)
 	}
 	claim := claimOf(up, resp)
 	reason := call.Reason(resp.Header.Get(call.HeaderReason))
--- a/node/local_dialect.go
+++ b/node/local_dialect.go
@@ -11,8 +11,11 @@
 // the head of the response. An upstream's statement that it did not run the request
 // is trusted, because the dialect allows it only before the upstream has done any
 // work.
-func (l *localCall) answeredInDialect(up *upstream, resp *http.Response) *answer {
+func (l *localCall) answeredInDialect(up *upstream, resp *http.Response, on exchange) *answer {
 	reported := l.node.settings.Dialect.ReadUpstream(resp, l.node.upstreamDescription(up, l.request))
+	if on.conn != nil && !identify(&reported, on) {
+		defer on.retire()
+	}
 	l.node.noteUpstreamLoad(reported)
 	l.node.recordNotice(up, reported)
 	stripHop(resp.Header)
@@ -32,6 +35,21 @@
 	return l.failMismatched(reported.Reason)
 }
 
+// identify changes an answer that may belong to an earlier request of the connection into one
+// that can't be trusted, and reports whether the connection may be used again. After an answer
+// that does not state which request it belongs to, the next one could be a second copy of it.
+func identify(reported *UpstreamAnswer, on exchange) (reusable bool) {
+	if !reported.Unidentified {
+		on.noteIdentified()
+		return !on.conn.retired.Load()
+	}
+	if !on.mayBelong() {
+		*reported = UpstreamAnswer{Outcome: call.Unknown, Reason: call.ReasonInvalidAnswer}
+		return false
+	}
+	return reported.Outcome != call.NotRun
+}
+
 // refusedReason distinguishes a rejection under load from any other rejection by the
 // upstream. The latter may be retried at other upstreams, however many of them reject
 // the request.
--- a/node/plaindialect_test.go
+++ b/node/plaindialect_test.go
@@ -54,6 +54,8 @@
 
 func plainOutcome(a *http.Response, u UpstreamRequest) UpstreamAnswer {
 	switch {
+	case a.Header.Get("X-Echo") == "" && a.Header.Get("X-Not-Run") != "":
+		return UpstreamAnswer{Outcome: call.NotRun, Reason: call.ReasonUpstreamShed, Unidentified: true}
 	case a.Header.Get("X-Echo") != u.ID:
 		return UpstreamAnswer{Outcome: call.Unknown, Reason: call.ReasonInvalidAnswer}
 	case a.StatusCode == http.StatusMisdirectedRequest:
--- a/node/transport.go
+++ b/node/transport.go
@@ -77,8 +77,8 @@
 	// gotConnection is set once the request has a connection. If that connection can't be
 	// sealed, conn is nil, and whether the request was sent is unknown.
 	gotConnection bool
-	conn          *sealConn
-	trace         httptrace.ClientTrace
+	exchange
+	trace httptrace.ClientTrace
 }
 
 func newSendState() *sendState {
@@ -90,9 +90,9 @@
 func (s *sendState) gotConn(info httptrace.GotConnInfo) {
 	s.gotConnection = true
 	conn, ok := unwrapSealConn(info.Conn)
-	s.conn = conn
+	s.exchange = exchange{conn: conn}
 	if ok {
-		conn.arm()
+		s.number = conn.arm()
 	}
 }
 
@@ -114,6 +114,12 @@
 // roundTrip sends req once. On an error, unsent reports whether the request was
 // provably not sent.
 func roundTrip(ctx context.Context, transport http.RoundTripper, req *http.Request) (resp *http.Response, unsent bool, err error) {
+	resp, _, unsent, err = roundTripOn(ctx, transport, req)
+	return resp, unsent, err
+}
+
+// roundTripOn is roundTrip with the exchange on the connection of the response.
+func roundTripOn(ctx context.Context, transport http.RoundTripper, req *http.Request) (resp *http.Response, on exchange, unsent bool, err error) {
 	if req.Body == nil || req.Body == http.NoBody {
 		req.Body = memoryBody(nil)
 	}
@@ -121,29 +127,35 @@
 	s := newSendState()
 	resp, err = transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, &s.trace)))
 	if err != nil {
-		return nil, s.provedUnsent(), err
+		return nil, exchange{}, s.provedUnsent(), err
 	}
 	if resp.StatusCode < http.StatusContinue {
 		// net/http reads such a code, but panics when it has to write it. The caller's
 		// connection would break without an outcome.
 		_ = resp.Body.Close()
-		return nil, false, &StatusError{Status: resp.StatusCode}
+		return nil, exchange{}, false, &StatusError{Status: resp.StatusCode}
 	}
-	return resp, false, nil
+	return resp, s.exchange, false, nil
 }
 
 // roundTrip calls the function roundTrip, unless an ablation enables the transport's
 // own resending.
 func (n *Node) roundTrip(ctx context.Context, transport http.RoundTripper, req *http.Request) (resp *http.Response, unsent bool, err error) {
+	resp, _, unsent, err = n.roundTripOn(ctx, transport, req)
+	return resp, unsent, err
+}
+
+// roundTripOn is roundTrip with the exchange on the connection of the response.
+func (n *Node) roundTripOn(ctx context.Context, transport http.RoundTripper, req *http.Request) (resp *http.Response, on exchange, unsent bool, err error) {
 	if !n.settings.Ablate.TransportReplays || req.Body == nil {
-		return roundTrip(ctx, transport, req)
+		return roundTripOn(ctx, transport, req)
 	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
-		return nil, false, err
+		return nil, exchange{}, false, err
 	}
 	req.GetBody = func() (io.ReadCloser, error) { return memoryBody(body), nil }
 	req.Body = memoryBody(body)
 	resp, err = transport.RoundTrip(req.WithContext(ctx))
-	return resp, false, err
+	return resp, exchange{}, false, err
 }
