--- a/spec/check.sh
+++ b/spec/check.sh
@@ -81,6 +81,7 @@
 check holds quarantine liveness 'a cause is held by all in the end' -DLIVENESS -DCAUSE
 check holds quarantine liveness 'the same, and one node restarts' -DLIVENESS -DCAUSE -DRESTART
 check holds quota safety 'the sum lent stays below the limit: cuts and a restart'
+check holds incarnation safety 'no request after an acknowledged departure: restarts, outages'
 check holds departure safety 'no request after a stated departure, restarts, next life'
 check holds peerlink safety 'agreed close: no call lost, not-run true'
 check holds restored safety 'a restored store is followed, no reversion'
@@ -143,6 +144,9 @@
 for safeguard in SHARE EMPTY STORED; do
 	lacks quota safety $safeguard
 done
+for safeguard in RESTORE SECOND FINAL STORE ACK_WAIT ANNOUNCED; do
+	lacks incarnation safety $safeguard
+done
 for safeguard in STATE INSTANCE DRAIN; do
 	lacks departure safety $safeguard
 done
