--- a/incarnation/departure.go
+++ b/incarnation/departure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 )
 
 // Departure is the stored form of an incarnation's departure.
@@ -20,8 +21,13 @@
 	return cmp.Or(cmp.Compare(a.LeftAt, b.LeftAt), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Born, b.Born))
 }
 
-// maxStored is the maximum number of departures in a stored object.
-const maxStored = 16
+const (
+	// maxStored is the maximum number of departures in a stored object.
+	maxStored = 16
+	// storedFor is how long a stored departure binds. Reports are seconds late at most; an
+	// upstream without start times may use its name again later.
+	storedFor = 10 * time.Minute
+)
 
 // document is the content of the stored object.
 type document struct {
@@ -50,12 +56,14 @@
 	return json.Marshal(document{Departures: departures})
 }
 
-// decode reads the stored form. Another program may have stored any other value under the
-// name; such a value has no departures.
-func decode(value []byte) []Departure {
+// decode reads the stored form without the departures that no longer bind. Another program may
+// have stored any other value under the name; such a value has no departures.
+func decode(value []byte, now time.Time) []Departure {
 	var stored document
 	if json.Unmarshal(value, &stored) != nil {
 		return nil
 	}
-	return slices.DeleteFunc(stored.Departures, func(d Departure) bool { return d.Name == "" })
+	return slices.DeleteFunc(stored.Departures, func(d Departure) bool {
+		return d.Name == "" || now.Sub(time.UnixMilli(d.LeftAt)) > storedFor
+	})
 }
--- a/incarnation/log.go
+++ b/incarnation/log.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
+	"time"
 
 	"pollengauge.dev/objects"
 )
@@ -27,17 +29,29 @@
 	read   bool
 }
 
-// NewLog returns the log with a name that is the same for each process of a node.
-func NewLog(store objects.Store, name string) *Log { return &Log{store: store, name: name} }
+// NewLog returns the log of the node at an address, which is the same for each of its
+// processes.
+func NewLog(store objects.Store, addr string) *Log {
+	return &Log{store: store, name: "vm-" + strings.Map(nameRune, addr)}
+}
+
+// nameRune replaces the characters of an address that the name of an object can't have. The
+// name must also start with a letter or a digit.
+func nameRune(r rune) rune {
+	if strings.ContainsRune("[]%/", r) {
+		return '_'
+	}
+	return r
+}
 
-// Load reads the stored departures. The error is one of the package objects.
-func (l *Log) Load(ctx context.Context) ([]Departure, error) {
+// Load reads the stored departures that still bind. The error is one of the package objects.
+func (l *Log) Load(ctx context.Context, now time.Time) ([]Departure, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.load(ctx)
+	return l.load(ctx, now)
 }
 
-func (l *Log) load(ctx context.Context) ([]Departure, error) {
+func (l *Log) load(ctx context.Context, now time.Time) ([]Departure, error) {
 	object, err := l.store.Get(ctx, Kind, l.name)
 	var absent *objects.NotFoundError
 	if errors.As(err, &absent) {
@@ -48,7 +62,7 @@
 		return nil, err
 	}
 	l.object, l.exists, l.read = object, true, true
-	return decode(object.Value), nil
+	return decode(object.Value, now), nil
 }
 
 // Forget makes the next call read the object again. It is needed after the platform has been
@@ -61,15 +75,15 @@
 
 // Store adds departures to the stored ones. It has taken effect only if it returns nil; the
 // error is one of the package objects, and the call may then be repeated.
-func (l *Log) Store(ctx context.Context, departures []Departure) error {
+func (l *Log) Store(ctx context.Context, departures []Departure, now time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.read {
-		if _, err := l.load(ctx); err != nil {
+		if _, err := l.load(ctx, now); err != nil {
 			return err
 		}
 	}
-	stored := decode(l.object.Value)
+	stored := decode(l.object.Value, now)
 	all := merge(stored, departures)
 	if l.exists && slices.Equal(stored, all) {
 		return nil
--- a/incarnation/tracker.go
+++ b/incarnation/tracker.go
@@ -130,7 +130,7 @@
 		id = latest
 	}
 	r := t.record(id)
-	if r.sequence == finalSequence {
+	if r.sequence == finalSequence && r.leaving {
 		return id, Effect{Ignored: true}
 	}
 	first := !r.leaving
--- a/incarnation/tracker_test.go
+++ b/incarnation/tracker_test.go
@@ -86,11 +86,12 @@
 		"repeated leave of an earlier start": {
 			[]step{leave(0, "a", 100), heartbeat(1, beat("a", 200, 1)), leave(2, "a", 100)}, "a200",
 		},
-		"clock set back":               {[]step{heartbeat(0, beat("a", 200, 1)), heartbeat(1, beat("a", 100, 1))}, "a200"},
-		"clock set back, silence":      {[]step{heartbeat(0, beat("a", 200, 1)), heartbeat(6, beat("a", 100, 1))}, "a100"},
-		"clock set back after a leave": {[]step{leave(0, "a", 200), heartbeat(6, beat("a", 100, 1))}, "a100"},
-		"no name":                      {[]step{heartbeat(0, Heartbeat{}), heartbeat(1, Heartbeat{})}, "0"},
-		"no name after a leave":        {[]step{leave(0, "a", 0), heartbeat(1, Heartbeat{})}, "0"},
+		"clock set back":                   {[]step{heartbeat(0, beat("a", 200, 1)), heartbeat(1, beat("a", 100, 1))}, "a200"},
+		"clock set back, silence":          {[]step{heartbeat(0, beat("a", 200, 1)), heartbeat(6, beat("a", 100, 1))}, "a100"},
+		"clock set back after a leave":     {[]step{leave(0, "a", 200), heartbeat(6, beat("a", 100, 1))}, "a100"},
+		"leave after the highest sequence": {[]step{heartbeat(0, beat("a", 0, finalSequence)), leave(1, "a", 0)}, ""},
+		"no name":                          {[]step{heartbeat(0, Heartbeat{}), heartbeat(1, Heartbeat{})}, "0"},
+		"no name after a leave":            {[]step{leave(0, "a", 0), heartbeat(1, Heartbeat{})}, "0"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var tracker Tracker
--- a/node/departures.go
+++ b/node/departures.go
@@ -126,7 +126,7 @@
 		if unstored == nil {
 			return
 		}
-		if l.log.Store(ctx, unstored) == nil {
+		if l.log.Store(ctx, unstored, time.Now()) == nil {
 			l.finish(unstored)
 			continue
 		}
@@ -225,12 +225,12 @@
 
 // restoreDepartures reads the stored departures, and retries until it succeeds or ctx ends.
 func (n *Node) restoreDepartures(ctx context.Context) {
-	stored, err := n.departures.log.Load(ctx)
+	stored, err := n.departures.log.Load(ctx, n.now())
 	for err != nil {
 		if !objects.Pause(ctx, departureRetryPause) {
 			return
 		}
-		stored, err = n.departures.log.Load(ctx)
+		stored, err = n.departures.log.Load(ctx, n.now())
 	}
 	defer close(n.departures.restored)
 	if len(stored) == 0 {
@@ -248,12 +248,14 @@
 	n.drainWithUpstream(true)
 }
 
-// markDeparted records when the incarnation reported that it leaves. The zero time changes
-// nothing.
+// markDeparted records when the incarnation reported that it leaves, the zero time if it has
+// not or has taken that back.
 func (l *upstreamIncarnation) markDeparted(at time.Time) {
-	if !at.IsZero() {
-		l.departedAt.CompareAndSwap(nil, &at)
+	if at.IsZero() {
+		l.departedAt.Store(nil)
+		return
 	}
+	l.departedAt.Store(&at)
 }
 
 // checkDeparture counts and logs a call that is sent to an incarnation of the upstream later
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -307,3 +307,40 @@
 		})
 	}
 }
+
+// Guards against an alarm about calls to an upstream that has taken back that it leaves.
+func TestCancelledDepartureRaisesNoAlarm(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		up := newNamedUpstream("i-1")
+		n := f.addRouted("vm", "desk", 10, up.serve)
+		a := n.upstream.Load().Announcement
+		f.announceAs(n, a, "i-1", 0, 5)
+		f.settle()
+		a.Draining = true
+		f.announceAs(n, a, "i-1", 0, 6)
+		time.Sleep(time.Second)
+		a.Draining = false
+		f.announceAs(n, a, "i-1", 0, 7)
+		time.Sleep(maxDrainTime)
+		f.c.Check(f.askRouted(n, "/browse/x", "after").status, qt.Equals, http.StatusOK)
+		f.c.Check(n.metrics.CallsAfterDeparture.Count(), qt.Equals, int64(0))
+	})
+}
+
+// Guards against an operator's drain that a heartbeat cancels, and against an upstream's that an
+// operator cancels.
+func TestADrainIsEndedByItsOwnCauseOnly(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("vm", "desk", 10, echo)
+		a := n.upstream.Load().Announcement
+		f.announceAs(n, a, "i-1", 0, 5)
+		n.SetDraining(true)
+		f.announceAs(n, a, "i-1", 0, 6)
+		f.c.Check(n.draining.Load(), qt.IsTrue)
+		f.c.Check(n.Leaving("i-1", 0), qt.IsNil)
+		n.SetDraining(false)
+		f.c.Check(n.draining.Load(), qt.IsTrue)
+		f.announceAs(n, a, "i-2", 0, 1)
+		f.c.Check(n.draining.Load(), qt.IsFalse)
+	})
+}
--- a/node/drain.go
+++ b/node/drain.go
@@ -44,16 +44,16 @@
 func (n *Node) setDraining(cause drainCause, on, atOnce bool) {
 	n.drainMu.Lock()
 	defer n.drainMu.Unlock()
-	before := n.drainCauses
+	before := drainCause(n.drainCauses.Load())
+	causes := before &^ cause
 	if on {
-		n.drainCauses |= cause
-	} else {
-		n.drainCauses &^= cause
+		causes |= cause
 	}
-	if n.drainCauses == before {
+	if causes == before {
 		return
 	}
-	draining := n.drainCauses != 0
+	n.drainCauses.Store(uint32(causes))
+	draining := causes != 0
 	changed := n.draining.Swap(draining) != draining
 	if n.settings.Ablate.NoDrainNews {
 		return
@@ -109,7 +109,7 @@
 // calls in the queue are refused as well if the upstream may get no calls: it is sent none
 // later than maxDrainTime after it has reported that it leaves. The caller holds drainMu.
 func (n *Node) closeGateFor(cause drainCause) {
-	if n.drainCauses&cause == 0 {
+	if drainCause(n.drainCauses.Load())&cause == 0 {
 		return
 	}
 	n.gate.Drain()
--- a/node/node.go
+++ b/node/node.go
@@ -110,8 +110,9 @@
 	incarnations incarnation.Tracker
 	departures   *departureLog
 	drainMu      sync.Mutex
-	// drainCauses and drainTimers are guarded by drainMu.
-	drainCauses drainCause
+	// drainTimers is guarded by drainMu, and so are the changes of drainCauses, which holds a
+	// drainCause.
+	drainCauses atomic.Uint32
 	drainTimers map[drainCause]*time.Timer
 	targetsMu   sync.Mutex
 	// targets is the last list of targets passed to the router; targetsMu guards it.
--- a/node/upstreamcrash.go
+++ b/node/upstreamcrash.go
@@ -188,9 +188,11 @@
 }
 
 // leaving reports whether the upstream or this node is shutting down, so that no request
-// is to blame.
+// is to blame. A drain because another incarnation answers is no shutdown: the upstream may
+// have crashed.
 func (n *Node) leaving(up *upstream) bool {
-	return up.Draining || n.draining.Load() || n.ending.Load()
+	return up.Draining || up.incarnation.departedAt.Load() != nil || n.ending.Load() ||
+		drainCause(n.drainCauses.Load())&(causeOperator|causeShutdown) != 0
 }
 
 // refusesDials reports whether nothing serves the upstream's address any more. The
--- a/node/upstreamcrash_test.go
+++ b/node/upstreamcrash_test.go
@@ -42,6 +42,25 @@
 	})
 }
 
+// Guards against a crash that is missed because the upstream restarts at once and rejects calls as
+// another incarnation before it announces itself.
+func TestCrashIsNoticedAfterARejectionByTheNextIncarnation(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("vm", "desk", 10, func(http.ResponseWriter, *http.Request, func(string, string, string) (*http.Response, error)) {
+			panic(http.ErrAbortHandler)
+		})
+		a := n.upstream.Load().Announcement
+		f.announceAs(n, a, "i-1", 0, 5)
+		f.settle()
+		f.askRouted(n, "/file/x", "a")
+		n.adoptInstance(n.upstream.Load(), "i-2")
+		f.c.Check(n.draining.Load(), qt.IsTrue)
+		f.announceAs(n, a, "i-2", 0, 1)
+		f.c.Check(n.draining.Load(), qt.IsFalse)
+		f.c.Check(n.metrics.UpstreamsEnded.Count(), qt.Equals, int64(1))
+	})
+}
+
 // Guards against blaming requests for the end of an upstream that announced its
 // shutdown.
 func TestUpstreamShutdownIsNotBlamedOnARequest(t *testing.T) {
