--- a/incarnation/tracker.go
+++ b/incarnation/tracker.go
@@ -184,6 +184,9 @@
 	return time.Time{}
 }
 
+// Knows reports whether a report of an incarnation was taken, or its departure restored.
+func (t *Tracker) Knows(id ID) bool { return t.known[id] != nil }
+
 // Sequence returns the sequence of the latest heartbeat of an incarnation.
 func (t *Tracker) Sequence(id ID) uint64 {
 	if r := t.known[id]; r != nil {
--- a/node/departures.go
+++ b/node/departures.go
@@ -192,11 +192,11 @@
 // whether the announcement may be taken.
 //
 // The upstream may have left before this process began; a delayed heartbeat from before that
-// would bring it back into use. An upstream that has just started has not left, so that the
-// first start of a fleet reads nothing. While the platform doesn't respond, an upstream
+// would bring it back into use. One that has announced itself here or has just started has not,
+// so that the first start of a fleet reads nothing. While the platform doesn't respond, an upstream
 // comes into use with its second heartbeat: one that has left sends no more.
 func (n *Node) awaitRestored(a Announcement) (mayTake bool) {
-	if a.Instance == "" || a.Draining || a.Sequence <= firstSequence {
+	if a.Instance == "" || a.Draining || a.Sequence <= firstSequence || n.knowsIncarnation(a.incarnation()) {
 		return true
 	}
 	l := n.departures
@@ -223,6 +223,12 @@
 	return heard && a.Sequence > first
 }
 
+func (n *Node) knowsIncarnation(id incarnation.ID) bool {
+	n.announceMu.Lock()
+	defer n.announceMu.Unlock()
+	return n.incarnations.Knows(id)
+}
+
 // restoreDepartures reads the stored departures, and retries until it succeeds or ctx ends.
 func (n *Node) restoreDepartures(ctx context.Context) {
 	stored, err := n.departures.log.Load(ctx, n.now())
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -344,3 +344,28 @@
 		f.c.Check(n.draining.Load(), qt.IsFalse)
 	})
 }
+
+// Guards against exact reads of the platform that grow with the fleet at its first start, and
+// against a start beside a running upstream that reads more than once.
+func TestDeparturesAreReadOnceAndOnlyBesideARunningUpstream(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		store := &callCounter{Memory: standin.NewMemory()}
+		f.store = store
+		n := f.addRouted("vm", "desk", 10, echo, fixedPorts)
+		f.settle()
+		a := n.upstream.Load().Announcement
+		before := store.exact.Load()
+		for sequence := range uint64(5) {
+			f.announceAs(n, a, "i-1", 0, sequence)
+		}
+		f.c.Check(store.exact.Load(), qt.Equals, before)
+		n.Close()
+		next := f.startAgain("vm")
+		f.settle()
+		before = store.exact.Load()
+		for sequence := range uint64(5) {
+			f.announceAs(next, a, "i-1", 0, 5+sequence)
+		}
+		f.c.Check(store.exact.Load(), qt.Equals, before+1)
+	})
+}
