--- a/cmd/pollengauge/soak/leave_test.go
+++ b/cmd/pollengauge/soak/leave_test.go
@@ -16,7 +16,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var leavesFlag = flag.Int("leaves", 0, "play this many fresh seeds of leaves and restarts alone, with the bound of a calm machine")
+var leavesFlag = flag.Int("leaves", 0, "play this many fresh seeds of leaves and restarts alone, or the one of -seed, with the bound of a calm machine")
 
 // leaveFaults are the faults of a plan of leaves.
 var leaveFaults = []fault{leaveByCall, leaveByCall, leaveByCall, killNode, termNode, storeDown, storeSlow, storeLoses}
@@ -27,7 +27,11 @@
 // Guards against requests to an upstream that has left, after the process that acknowledged it
 // was killed or told to exit, with the platform's store down at times.
 func TestAcknowledgedLeavesBindLaterProcesses(t *testing.T) {
-	if *leavesFlag == 0 {
+	switch {
+	case *leavesFlag > 0 && *seedFlag != 0:
+		playLeaves(t, *seedFlag, true)
+		return
+	case *leavesFlag == 0:
 		playLeaves(t, shortSeed, false)
 		return
 	}
