--- a/cmd/pollengauge/soak/leave_test.go
+++ b/cmd/pollengauge/soak/leave_test.go
@@ -66,11 +66,12 @@
 		j.drainingUpstreamsGetNothing()
 		j.runsWereRequested()
 		j.unsafeRunsOnce()
+		departures, runs := len(j.drainNotices), len(j.runs)
 		f.record.mu.Unlock()
 		for _, v := range append(j.found, recovery...) {
 			c.Errorf("seed %d: %s", seed, v)
 		}
-		c.Logf("seed %d: %d departures acknowledged, %d runs", seed, len(f.record.drainNotices), len(f.record.runs))
+		c.Logf("seed %d: %d departures acknowledged, %d runs", seed, departures, runs)
 		if c.Failed() {
 			c.Logf("logs are in %s", folder)
 			return
