--- a/node/drain.go
+++ b/node/drain.go
@@ -137,6 +137,7 @@
 		observe.Dur("drain_timeout", n.adjusted.Load().DrainTimeout))
 	defer func() { n.logExit(n.now().Sub(began)) }()
 	defer n.startDrainProgress(ctx)()
+	n.endingSince.Store(&began)
 	n.ending.Store(true)
 	if n.usesDialect() {
 		return n.shutdownWithDialect(ctx)
--- a/node/drainlog.go
+++ b/node/drainlog.go
@@ -52,3 +52,14 @@
 	n.log.Emit(observe.ProcessEnds, observe.Int64("read", counts.Read), observe.Int64("answered", counts.Answered),
 		observe.Int64("cut", counts.Cut), observe.Int64("open", counts.Open), observe.Dur("took", took))
 }
+
+// logInterrupted logs that the end of the drain interrupted a request that was read at start.
+func (n *Node) logInterrupted(req *request, start time.Time) {
+	now := n.now()
+	fields := []observe.Field{observe.Str("request", call.ShortID(req.call.RequestID)), observe.Str("profile", req.call.Profile),
+		observe.Bool("of_upstream", req.parent != nil), observe.Dur("age", now.Sub(start)), observe.Dur("deadline_left", req.deadline.Sub(now))}
+	if began := n.endingSince.Load(); began != nil {
+		fields = append(fields, observe.Dur("shutdown_age", now.Sub(*began)))
+	}
+	n.log.Emit(observe.CallInterrupted, fields...)
+}
--- a/node/edge.go
+++ b/node/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
@@ -48,7 +49,7 @@
 	start := n.now()
 	n.noteCallerRetry(req)
 	a := n.runRoot(ctx, req)
-	n.nameInterruption(a)
+	n.nameInterruption(a, req, start)
 	n.finishRefusal(a, req)
 	n.recordRoot(req, a, start)
 	if req.parent != nil {
@@ -58,13 +59,16 @@
 }
 
 // nameInterruption gives a request that was interrupted at the end of a drain that reason
-// in place of a cancellation by its caller.
-func (n *Node) nameInterruption(a *answer) {
+// in place of a cancellation by its caller. start is when the request was read.
+func (n *Node) nameInterruption(a *answer, req *request, start time.Time) {
 	if a.report.Reason != call.ReasonCancelled || !n.inflight.Interrupted() || a.refusal == nil {
 		return
 	}
 	a.report.Reason, a.refusal.reason = call.ReasonDraining, call.ReasonDraining
 	a.status = refusalStatus(a.report.Outcome, call.ReasonDraining)
+	if a.report.Outcome != call.NotRun {
+		n.logInterrupted(req, start)
+	}
 }
 
 // writeRoot writes the answer to a root request and returns the answer's report.
--- a/node/node.go
+++ b/node/node.go
@@ -129,6 +129,8 @@
 	draining  atomic.Bool
 	// ending is set once the process has begun to shut down.
 	ending atomic.Bool
+	// endingSince is when the shutdown began, nil before it.
+	endingSince atomic.Pointer[time.Time]
 	// drainTimedOut is set once the time of the drain was over with requests open.
 	drainTimedOut atomic.Bool
 	// closed is set once the node refuses all new requests. callsClosed is set once it
