--- a/node/drain.go
+++ b/node/drain.go
@@ -7,6 +7,7 @@
 	"pollengauge.dev/membership"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/shutdown"
 )
 
 // drainPoll is how often a drain checks whether the last call has ended.
@@ -137,10 +138,11 @@
 		observe.Dur("drain_timeout", n.adjusted.Load().DrainTimeout))
 	defer func() { n.logExit(n.now().Sub(began)) }()
 	defer n.startDrainProgress(ctx)()
-	n.endingSince.Store(&began)
+	plan := shutdown.NewPlan(began, n.adjusted.Load().DrainTimeout)
+	n.shutdownPlan.Store(&plan)
 	n.ending.Store(true)
 	if n.usesDialect() {
-		return n.shutdownWithDialect(ctx)
+		return n.shutdownWithDialect(ctx, plan)
 	}
 	n.setDraining(causeShutdown, true, false)
 	if n.settings.Ablate.NoDrainWait {
--- a/node/drainlog.go
+++ b/node/drainlog.go
@@ -58,8 +58,11 @@
 	now := n.now()
 	fields := []observe.Field{observe.Str("request", call.ShortID(req.call.RequestID)), observe.Str("profile", req.call.Profile),
 		observe.Bool("of_upstream", req.parent != nil), observe.Dur("age", now.Sub(start)), observe.Dur("deadline_left", req.deadline.Sub(now))}
-	if began := n.endingSince.Load(); began != nil {
-		fields = append(fields, observe.Dur("shutdown_age", now.Sub(*began)))
+	if plan := n.shutdownPlan.Load(); plan != nil {
+		fields = append(fields, observe.Dur("shutdown_age", now.Sub(plan.Began())))
+	}
+	if req.beganBy != "" {
+		fields = append(fields, observe.Str("rule", string(req.beganBy)))
 	}
 	n.log.Emit(observe.CallInterrupted, fields...)
 }
--- a/node/edge.go
+++ b/node/edge.go
@@ -89,6 +89,9 @@
 // key is checked before admission, because the replay of a stored answer costs nothing
 // and must work under overload. A request that did not run returns its quota.
 func (n *Node) runRoot(ctx context.Context, req *request) *answer {
+	if refused := n.refuseUnfinishable(rootKind(req), req); refused != nil {
+		return refused
+	}
 	if refused := n.takeQuota(ctx, req); refused != nil {
 		return refused
 	}
--- a/node/ending.go
+++ b/node/ending.go
@@ -8,82 +8,53 @@
 
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/shutdown"
 )
 
-// Timing of a shutdown where callers on this VM send their requests to this node.
-// Callers only learn that the node isn't ready by polling it, so they continue to send
-// for a while.
-const (
-	// shutdownDrainDelay is how long the upstream on this VM still accepts calls of
-	// other nodes before the drain is announced to them. The upstream keeps running
-	// beside a node that is only restarted, and where the nodes of a service restart one
-	// after another, each second without the upstream costs capacity.
-	shutdownDrainDelay = time.Second
-	// shutdownAcceptTime is how long requests of callers are still accepted. Callers
-	// poll once a second and leave after two negative responses; a listener that closes
-	// sooner breaks requests that are on their way. Later requests are refused with
-	// not-run, so that the remaining time is left to running calls.
-	shutdownAcceptTime = 2500 * time.Millisecond
-	// leaveTimeout bounds the time to announce the departure to the other members.
-	leaveTimeout = 200 * time.Millisecond
-)
+// leaveTimeout bounds the time to announce the departure to the other members, and then the
+// time to close the servers.
+const leaveTimeout = 200 * time.Millisecond
 
 // Ready reports whether callers may use this node: it has received a configuration and
 // is not shutting down.
 func (n *Node) Ready() bool { return n.config.Status().HasStoredSet && !n.ending.Load() }
 
 // shutdownWithDialect shuts down a node that uses a dialect, while the upstream keeps
-// running beside it. The node still accepts calls of other nodes for shutdownDrainDelay,
-// then announces the drain, and refuses all new requests after shutdownAcceptTime.
-// Requests accepted before are completed if ctx allows it. Those that are not complete
+// running beside it. The drain is announced and new requests are refused at the times of the
+// plan. Requests accepted before are completed if ctx allows it. Those that are not complete
 // when ctx ends are answered by this node.
-func (n *Node) shutdownWithDialect(ctx context.Context) error {
-	drainDelay, acceptTime := shutdownTimes(n.adjusted.Load().DrainTimeout)
-	objects.Pause(ctx, drainDelay)
+func (n *Node) shutdownWithDialect(ctx context.Context, plan shutdown.Plan) error {
+	objects.Pause(ctx, plan.DrainAt().Sub(n.now()))
 	n.setDraining(causeShutdown, true, false)
-	objects.Pause(ctx, acceptTime-drainDelay)
+	objects.Pause(ctx, plan.RefuseAt().Sub(n.now()))
 	n.closed.Store(true)
-	defer n.closeCallsBefore(ctx)()
 	err := n.awaitNoActive(ctx)
 	if err != nil {
 		n.inflight.Interrupt()
 	}
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		n.leaveMembers(ctx)
+	}()
 	n.closeCallers(ctx)
-	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	<-left
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
-	if leaveErr := n.gossip.Leave(leaving); leaveErr != nil {
-		n.log.Emit(observe.LeaveUnheard, observe.Err(leaveErr))
-	}
-	if shutdown := n.shutdownServers(leaving); err == nil && shutdown != nil && !errors.Is(shutdown, context.DeadlineExceeded) {
+	if closed := n.shutdownServers(closing); err == nil && closed != nil && !errors.Is(closed, context.DeadlineExceeded) {
 		err = &DrainError{InFlight: int(n.active.Load())}
 	}
 	n.Close()
 	return err
 }
 
-// lastCallShare is the last part of a drain, as a fraction of its time, in which the upstream
-// can make no further calls. Calls in progress at the end of the drain are broken off although
-// an upstream works on them, so only calls that have had this much time may be.
-const lastCallShare = 0.1
-
-// closeCallsBefore refuses the calls of open visits shortly before ctx ends. The function
-// returned cancels this.
-func (n *Node) closeCallsBefore(ctx context.Context) (cancel func()) {
-	end, ok := ctx.Deadline()
-	if !ok {
-		return func() {}
+// leaveMembers announces the departure to the other members, also after ctx has ended.
+func (n *Node) leaveMembers(ctx context.Context) {
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := n.gossip.Leave(leaving); err != nil {
+		n.log.Emit(observe.LeaveUnheard, observe.Err(err))
 	}
-	last := time.Duration(lastCallShare * float64(n.adjusted.Load().DrainTimeout))
-	timer := time.AfterFunc(time.Until(end)-last, func() { n.callsClosed.Store(true) })
-	return func() { timer.Stop() }
-}
-
-// shutdownTimes returns shutdownDrainDelay and shutdownAcceptTime for a drain that may take
-// drainTimeout. In a short drain both are shorter, so that at least half of it is left to
-// the requests that were accepted last.
-func shutdownTimes(drainTimeout time.Duration) (drainDelay, acceptTime time.Duration) {
-	acceptTime = min(shutdownAcceptTime, drainTimeout/2)
-	return shutdownDrainDelay * acceptTime / shutdownAcceptTime, acceptTime
 }
 
 // awaitNoActive waits until no request of any kind is in this node.
--- a/node/local.go
+++ b/node/local.go
@@ -13,6 +13,7 @@
 	"pollengauge.dev/observe"
 	"pollengauge.dev/quarantine"
 	"pollengauge.dev/retry"
+	"pollengauge.dev/shutdown"
 )
 
 // runLocal admits the call and runs it at this VM's upstream. Every answer it returns
@@ -26,6 +27,9 @@
 	if !n.adoptNotice(up, req.call.Upstream) {
 		return n.refuse(call.NotRun, call.ReasonDraining, 0)
 	}
+	if refused := n.refuseUnfinishable(shutdown.UpstreamRun, req); refused != nil {
+		return refused
+	}
 	refused, trial := n.checkQuarantineHere(req)
 	if refused != nil {
 		return refused
@@ -37,6 +41,14 @@
 		}
 		return n.gateRefusal(req, err, arrived)
 	}
+	if refused := n.refuseUnfinishable(shutdown.UpstreamRun, req); refused != nil {
+		// The call was queued until it was too late.
+		ticket.Release(admission.Ignore)
+		if trial {
+			n.abandonRun(req, false)
+		}
+		return refused
+	}
 	// The call may have been queued while another incarnation took the place.
 	up = n.upstream.Load()
 	v, cancel := n.openVisit(ctx, req, ticket, up.incarnation)
--- a/node/local_finish.go
+++ b/node/local_finish.go
@@ -17,7 +17,7 @@
 	}
 	l.finished = true
 	now := l.node.now()
-	l.recordWorkTime(outcome, reason, status, now)
+	l.recordTimes(outcome, reason, status, now)
 	l.visit.close()
 	l.node.visits.remove(l.visit)
 	if outcome == call.Complete && status < http.StatusInternalServerError {
@@ -59,14 +59,15 @@
 	l.node.record(&hop)
 }
 
-// recordWorkTime records how long the upstream worked on the call. A fast failure
-// says nothing about its speed, so it is ignored. A call that ran into its deadline
-// took at least that long.
-func (l *localCall) recordWorkTime(outcome call.Outcome, reason call.Reason, status int, ended time.Time) {
+// recordTimes records how long the upstream worked on the call, and how long the call took
+// here in all. A fast failure says nothing about its speed, so it is ignored. A call that ran
+// into its deadline took at least that long.
+func (l *localCall) recordTimes(outcome call.Outcome, reason call.Reason, status int, ended time.Time) {
 	answered := outcome == call.Complete && status < http.StatusInternalServerError
 	late := outcome == call.Unknown && reason == call.ReasonTimeout
 	if answered || late {
 		l.node.work.Add(l.request.call.Profile, l.visit.worked(ended))
+		l.node.runTimes.Add(l.request.call.Profile, ended.Sub(l.arrived), ended)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"pollengauge.dev/retry"
 	"pollengauge.dev/routing"
 	"pollengauge.dev/secure"
+	"pollengauge.dev/shutdown"
 )
 
 // Node is one running process of the system. New creates it and Start opens its
@@ -129,13 +130,15 @@
 	draining  atomic.Bool
 	// ending is set once the process has begun to shut down.
 	ending atomic.Bool
-	// endingSince is when the shutdown began, nil before it.
-	endingSince atomic.Pointer[time.Time]
+	// shutdownPlan has the times of the shutdown, nil before it.
+	shutdownPlan atomic.Pointer[shutdown.Plan]
+	// callTimes measures how long the requests of callers and of the upstream on this VM
+	// take, runTimes the runs at that upstream.
+	callTimes, runTimes shutdown.Meter
 	// drainTimedOut is set once the time of the drain was over with requests open.
 	drainTimedOut atomic.Bool
-	// closed is set once the node refuses all new requests. callsClosed is set once it
-	// refuses the calls of open visits as well.
-	closed, callsClosed atomic.Bool
+	// closed is set once the node refuses all new requests.
+	closed atomic.Bool
 	// ownSlots are the slots of the upstream on this VM. joined is set once the node has
 	// joined the gossip and may announce them.
 	ownSlots atomic.Int64
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -7,6 +7,7 @@
 
 	"pollengauge.dev/call"
 	"pollengauge.dev/observe"
+	"pollengauge.dev/shutdown"
 )
 
 // outboundHandler returns the handler of the outbound listener, which receives
@@ -86,7 +87,8 @@
 	start := n.now()
 	a := n.runChild(ctx, req, v, childKey)
 	report = a.report
-	n.recordStep(req, a, observe.Outbound, start)
+	took := n.recordStep(req, a, observe.Outbound, start)
+	n.noteCallTime(req, a, took, start.Add(took))
 	n.finishRefusal(a, req)
 	defer a.close()
 	a.toCaller = true
@@ -125,6 +127,9 @@
 }
 
 func (n *Node) runChild(ctx context.Context, req *request, v *visit, childKey string) *answer {
+	if refused := n.refuseUnfinishable(shutdown.UpstreamCall, req); refused != nil {
+		return refused
+	}
 	if childKey != "" {
 		return n.runChildKeyed(ctx, req, v, childKey)
 	}
--- a/node/peer.go
+++ b/node/peer.go
@@ -143,7 +143,7 @@
 }
 
 func (n *Node) runPeer(ctx context.Context, req *request) *answer {
-	if n.closed.Load() {
+	if n.refusesNew() {
 		return n.refuse(call.NotRun, call.ReasonDraining, 0)
 	}
 	if n.busy(admission.PeerCall) {
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -76,7 +76,7 @@
 // twice, one that the node would refuse, and a call of the upstream on this VM, which
 // its handler has to account to its visit.
 func (n *Node) startEarly(ctx context.Context, r *http.Request) pipelining.Answer {
-	if n.closed.Load() || n.earlyRuns.Add(1) > maxEarlyRuns {
+	if n.refusesNew() || n.earlyRuns.Add(1) > maxEarlyRuns {
 		n.earlyRuns.Add(-1)
 		return nil
 	}
--- a/node/request.go
+++ b/node/request.go
@@ -9,6 +9,7 @@
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
 	"pollengauge.dev/node/inflight"
+	"pollengauge.dev/shutdown"
 )
 
 // request is one call that a node carries.
@@ -52,6 +53,9 @@
 	// served. It is nil before a pipelined request's turn, and for calls of the node
 	// itself.
 	tracked *inflight.Request
+	// beganBy is the rule by which the request began while the node shut down, "" if it began
+	// before.
+	beganBy shutdown.Rule
 	// ownerHops counts how often the call was forwarded in search of the node that owns
 	// its key.
 	ownerHops int
--- a/node/routed.go
+++ b/node/routed.go
@@ -106,7 +106,7 @@
 
 // routedRequest reads a request and finds its route, or returns the refusal.
 func (n *Node) routedRequest(w http.ResponseWriter, r *http.Request) (*request, *answer) {
-	if n.closed.Load() && !n.madeForOpenVisit(r) {
+	if n.refusesNew() && !n.madeForOpenVisit(r) {
 		return nil, n.refuse(call.NotRun, call.ReasonDraining, shutdownRetry)
 	}
 	if !n.config.Status().HasStoredSet {
@@ -168,15 +168,15 @@
 }
 
 // madeForOpenVisit reports whether a request is a call that the upstream on this VM makes
-// for a visit that is open. Such calls are carried nearly until the end of a drain: if they
-// were refused, requests that were accepted before would fail.
+// for a visit that is open. Such calls are accepted for longer than new requests, since requests
+// that were accepted before would fail without them.
 func (n *Node) madeForOpenVisit(r *http.Request) bool {
 	parent := n.settings.Dialect.ParentOf(n.requestIDOf(r))
 	if parent == "" {
 		return false
 	}
 	_, open := n.visits.find(parent)
-	return open && !n.callsClosed.Load()
+	return open
 }
 
 // refuseUnrouted refuses a request for which a configuration version has no route. If
--- a/node/step_record.go
+++ b/node/step_record.go
@@ -18,6 +18,7 @@
 	profile := n.metrics.Profile(req.call.Profile)
 	profile.Call(a.report.Outcome, a.report.Reason)
 	profile.Total.Observe(took)
+	n.noteCallTime(req, a, took, ended)
 	if a.report.Outcome == call.Unknown && req.profile.Unrepeatable {
 		n.noteUnknown(req, a)
 	}
