--- a/node/unfinishable_test.go
+++ b/node/unfinishable_test.go
@@ -34,8 +34,10 @@
 // restartResult is what became of the requests around a restart.
 type restartResult struct {
 	answers map[int]int
-	// cut counts the calls that were broken off at their upstream.
-	cut int
+	// cut counts the calls that were broken off at their upstream, unanswered the requests
+	// that the node read and closed the connection of.
+	cut        int
+	unanswered int64
 }
 
 // restartUnderCalls lets one of two desk nodes shut down under requests that each make calls to
@@ -96,6 +98,7 @@
 	}
 	callers.Wait()
 	<-drained
+	result.unanswered = nodes["front-1"].inflight.Counts().Cut
 	return result
 }
 
@@ -120,6 +123,7 @@
 					f.c.Check(status == http.StatusOK || notRun, qt.IsTrue, qt.Commentf("status %d: %d of %v", status, count, got.answers))
 				}
 				f.c.Check(got.cut, qt.Equals, 0)
+				f.c.Check(got.unanswered, qt.Equals, int64(0))
 			})
 		})
 	}
