--- a/node/quota.go
+++ b/node/quota.go
@@ -69,14 +69,9 @@
 	return q
 }
 
-const (
-	// maxTokenRounds is how often a request asks for tokens: other requests may have
-	// taken the tokens of the first response.
-	maxTokenRounds = 2
-	// quotaUnknownRetry is the lowest Retry-After while neither the owner nor its deputy
-	// responds.
-	quotaUnknownRetry = 100 * time.Millisecond
-)
+// maxTokenRounds is how often a request asks for tokens: other requests may have taken
+// the tokens of the first response.
+const maxTokenRounds = 2
 
 // takeQuota takes a token of the customer's limit for an incoming request, and returns a
 // refusal if there is none.
@@ -91,7 +86,7 @@
 	case err != nil:
 		n.metrics.Quotas.With(quotaUnknown).Inc(1)
 		n.log.Emit(observe.QuotaUnknown, observe.Str("customer", of.Name), observe.Err(err))
-		return n.refuse(outcomeBeforeKeys(req), call.ReasonQuotaUnknown, quotaUnknownRetry)
+		return n.refuse(outcomeBeforeKeys(req), call.ReasonQuotaUnknown, n.untilOwnerIsAsked(of.Name))
 	case !taken.OK:
 		n.metrics.Quotas.With(quotaRefused).Inc(1)
 		n.quotas.noteRefused(of.Name)
@@ -110,29 +105,14 @@
 	return call.NotRun
 }
 
-// refuseOverLimit refuses a request that exceeds its customer's limit.
+// refuseOverLimit refuses a request that exceeds its customer's limit. after is when the
+// owner of the customer expects a token for it.
 func (n *Node) refuseOverLimit(req *request, after time.Duration) *answer {
-	a := n.refuse(outcomeBeforeKeys(req), call.ReasonQuota, shortenRetryAfter(after, req, rand.Float64()))
+	a := n.refuse(outcomeBeforeKeys(req), call.ReasonQuota, after)
 	a.status = http.StatusTooManyRequests
 	return a
 }
 
-// retryTargetShare is the part of a profile's target within which a caller over its
-// customer's limit is told to retry.
-const retryTargetShare = 0.25
-
-// shortenRetryAfter shortens a Retry-After so that the answer to the retry can still
-// meet the profile's target. A customer over its limit gets its full limit in any case;
-// the shorter wait makes those answers arrive in time. draw, from 0 to 1, spreads the
-// callers whose wait was shortened.
-func shortenRetryAfter(after time.Duration, req *request, draw float64) time.Duration {
-	latest := time.Duration(retryTargetShare * float64(req.profile.Target))
-	if latest == 0 || after <= latest {
-		return after
-	}
-	return time.Duration((1 + draw) / 2 * float64(latest))
-}
-
 // returnQuota returns the token of a request that did not run.
 func (n *Node) returnQuota(req *request) {
 	if !req.quotaEnds.IsZero() {
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -194,6 +194,38 @@
 	})
 }
 
+// Guards against a Retry-After that is earlier than a token because of the profile's target:
+// a caller over its limit that heeds each one would be refused again and again.
+func TestRetryAfterOverALimitFollowsItsTokens(t *testing.T) {
+	for _, target := range []time.Duration{0, 100 * time.Millisecond, 2 * time.Second} {
+		t.Run(target.String(), func(t *testing.T) {
+			inFleet(t, func(f *fleet) {
+				n := f.addRouted("vm0", "desk", 100, echo)
+				f.settle()
+				set := limitedSet(f.c, 2, 1, 1)
+				for i := range set.Profiles {
+					set.Profiles[i].Target = config.Duration(target)
+				}
+				f.c.Assert(n.OfferConfig(set), qt.IsNil)
+				served, refused := 0, 0
+				for start := time.Now(); time.Since(start) < 30*time.Second; {
+					got := f.askRouted(n, "/browse/x", strconv.Itoa(served+refused), "X-Key", "hot")
+					if got.status == http.StatusOK {
+						served++
+						continue
+					}
+					refused++
+					after, err := strconv.Atoi(got.header.Get("X-After"))
+					f.c.Assert(err, qt.IsNil)
+					time.Sleep(time.Duration(after) * time.Millisecond)
+				}
+				f.c.Check(refused <= served, qt.IsTrue, qt.Commentf("refused %d times, served %d", refused, served))
+				f.c.Check(served >= 25, qt.IsTrue, qt.Commentf("served %d of a limit of 30", served))
+			})
+		})
+	}
+}
+
 // A request that was refused for another reason returns its token.
 func TestRefusedRequestsReturnTheirToken(t *testing.T) {
 	inFleet(t, func(f *fleet) {
--- a/node/quotaask.go
+++ b/node/quotaask.go
@@ -81,10 +81,22 @@
 }
 
 func (q *quotaState) isSilent(id string, now time.Time) bool {
+	return q.silentFor(id, now) > 0
+}
+
+// untilOwnerIsAsked returns how long neither the owner of a customer nor its deputy is asked
+// for tokens because they did not respond, at least the time that they have for a response.
+func (n *Node) untilOwnerIsAsked(customer string) time.Duration {
+	owner, deputy := n.quotas.owners.Load().Of(customer)
+	now := n.now()
+	return max(min(n.quotas.silentFor(owner, now), n.quotas.silentFor(deputy, now)), tokenRequestTimeout)
+}
+
+// silentFor returns how much longer a member is not asked, 0 if it may be asked.
+func (q *quotaState) silentFor(id string, now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	until, found := q.silentMembers[id]
-	return found && now.Before(until)
+	return max(q.silentMembers[id].Sub(now), 0)
 }
 
 func (q *quotaState) markSilent(id string, until time.Time) {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -14,9 +14,13 @@
 	// bucketTTL is how long a bucket without requests is retained. A customer that
 	// returns later gets a new bucket.
 	bucketTTL = time.Minute
-	// minRetryAfter and maxRetryAfter bound Grant.RetryAfter.
-	maxRetryAfter = 2 * time.Second
+	// minRetryAfter is the lowest Grant.RetryAfter: about the time in which the response
+	// reaches the caller and its retry comes back. maxRetryAfter only keeps the time of a
+	// very low rate within the range of a Duration.
 	minRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = time.Hour
+	// millisPerSecond converts seconds to the milliseconds of Grant.RetryAfter.
+	millisPerSecond = 1000
 )
 
 // LeaseRequest is a node's request for tokens to the owner of a customer.
@@ -46,8 +50,8 @@
 	// waiting request needed one.
 	Tokens    int
 	NotNeeded bool
-	// RetryAfter is when the next token can be expected, if none was leased to a
-	// waiting request.
+	// RetryAfter is when the next token can be expected, in whole milliseconds, if none
+	// was leased to a waiting request.
 	RetryAfter time.Duration
 	// Use is the customer's demand as a fraction of its limit, at most 1.
 	Use float64
@@ -126,8 +130,8 @@
 // owner fills the bucket at the rate alone in its first window.
 func (b *bucket) advance(now time.Time, share float64, window time.Duration) {
 	elapsed := max(now.Sub(b.updatedAt), 0)
-	early := min(max(b.ownedSince.Add(window).Sub(b.updatedAt), 0), elapsed)
-	filled := b.limit.Rate*early.Seconds() + b.limit.perWindow(window)/window.Seconds()*(elapsed-early).Seconds()
+	early := min(b.firstWindowLeft(b.updatedAt, window), elapsed)
+	filled := b.limit.Rate*early.Seconds() + b.limit.windowRate(window)*(elapsed-early).Seconds()
 	b.updatedAt = now
 	b.tokens = min(b.tokens+filled*share, max(b.limit.Burst*share, 1))
 	decay := math.Exp(-float64(elapsed) / float64(demandTimeConstant))
@@ -135,6 +139,20 @@
 	b.refused *= decay
 }
 
+// firstWindowLeft returns how much of the first window of the bucket's owner is left.
+func (b *bucket) firstWindowLeft(now time.Time, window time.Duration) time.Duration {
+	return max(b.ownedSince.Add(window).Sub(now), 0)
+}
+
+// secondsToFill returns the seconds that advance needs to add this many tokens.
+func (b *bucket) secondsToFill(tokens, share float64, window time.Duration, now time.Time) float64 {
+	early := b.firstWindowLeft(now, window).Seconds()
+	if filled := b.limit.Rate * share * early; filled < tokens {
+		return early + (tokens-filled)/(b.limit.windowRate(window)*share)
+	}
+	return tokens / (b.limit.Rate * share)
+}
+
 // prefetchShare is the fraction of a window's limit up to which tokens are leased in
 // advance, for requests that are not waiting yet. Beyond it, tokens leased in advance
 // and used in the next window could make that window exceed its limit.
@@ -148,7 +166,7 @@
 		want = min(want, max(a.Need, 0))
 	}
 	b.requested += float64(want)
-	g := Grant{Use: min(b.requested/(b.limit.perWindow(window)/window.Seconds()*demandTimeConstant.Seconds()), 1)}
+	g := Grant{Use: min(b.requested/(b.limit.windowRate(window)*demandTimeConstant.Seconds()), 1)}
 	if want == 0 {
 		g.NotNeeded = true
 		return g
@@ -162,8 +180,8 @@
 	g.Tokens = 0
 	g.NotNeeded = a.Need <= 0
 	if !g.NotNeeded {
+		g.RetryAfter = b.retryAfter(a, maxTokens, window, now)
 		b.refused += float64(want)
-		g.RetryAfter = b.retryAfter(a, window)
 	}
 	return g
 }
@@ -172,12 +190,17 @@
 // no exact binary representation.
 const roundingTolerance = 1e-9
 
-// retryAfter spreads the retries of refused callers over the time in which the bucket
-// will have tokens for all of them.
-func (b *bucket) retryAfter(a LeaseRequest, window time.Duration) time.Duration {
-	rate := b.limit.perWindow(window) / window.Seconds() * a.Share
-	wait := (max(1-b.tokens, 0) + a.Draw*b.refused) / rate
-	return time.Duration(min(max(wait, minRetryAfter.Seconds()), maxRetryAfter.Seconds()) * float64(time.Second))
+// retryAfter returns when the next token is expected: when the bucket has filled up to
+// one token and the window, which may lease maxTokens, has room for it. The retries of
+// callers that were refused shortly after one another are spread over the time in which the
+// bucket fills for all of them.
+func (b *bucket) retryAfter(a LeaseRequest, maxTokens float64, window time.Duration, now time.Time) time.Duration {
+	filled := b.secondsToFill(max(1-b.tokens, 0), a.Share, window, now)
+	room := b.leased.untilAtMost(maxTokens-1, now, window).Seconds()
+	wait := max(filled, room) + a.Draw*b.refused/(b.limit.windowRate(window)*a.Share)
+	wait = min(max(wait, minRetryAfter.Seconds()), maxRetryAfter.Seconds())
+	// Rounded up, since callers are told whole milliseconds.
+	return time.Duration(math.Ceil(wait*millisPerSecond)) * time.Millisecond
 }
 
 // sweep deletes buckets without recent requests. The caller holds the lock.
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -18,6 +18,11 @@
 // perWindow returns the number of requests that may be forwarded in a window.
 func (l Limit) perWindow(window time.Duration) float64 { return l.Rate*window.Seconds() + l.Burst }
 
+// windowRate returns the requests per second that use up a window's limit evenly.
+func (l Limit) windowRate(window time.Duration) float64 {
+	return l.perWindow(window) / window.Seconds()
+}
+
 // Tolerance is how far the total over all nodes may exceed a limit in any window. It
 // exists so that nodes need not contact the owner for each request.
 type Tolerance struct {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -92,6 +92,59 @@
 	c.Check(last > 900*time.Millisecond && last <= maxRetryAfter, qt.IsTrue, qt.Commentf("%v", last))
 }
 
+// Guards against a Retry-After that is earlier than a token, whether the bucket or the
+// window is short of it: a caller that heeds each one is refused once for a token, and the
+// customer gets its whole limit all the same.
+func TestRetryAfterIsWhenATokenIsDue(t *testing.T) {
+	for name, limit := range map[string]Limit{
+		"slow bucket":      {Rate: 0.4},
+		"bucket":           {Rate: 4},
+		"burst and window": {Rate: 1, Burst: 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := NewLedger(DefaultTolerance.Window, func(Limit) float64 { return 0 })
+			const length = 2 * time.Minute
+			now, served, refused := at(0), 0, 0
+			for now.Before(at(length)) {
+				g := l.Lease(LeaseRequest{Customer: "a", Limit: limit, Want: 1, Need: 1, Share: 1}, now)
+				if g.Tokens > 0 {
+					served++
+					continue
+				}
+				refused++
+				c.Assert(refused <= served+1, qt.IsTrue, qt.Commentf("refused %d times, served %d", refused, served))
+				now = now.Add(g.RetryAfter)
+			}
+			// A window is up to one slice longer than stated.
+			least := limit.Rate * (length - 2*DefaultTolerance.Window).Seconds() * windowSlices / (windowSlices + 1)
+			c.Check(float64(served) >= least, qt.IsTrue, qt.Commentf("%d served, %v is the limit", served, least))
+		})
+	}
+}
+
+// Guards against a token that a window seems to have room for before its oldest tokens
+// have left it.
+func TestWindowHasRoomWhenItsOldestTokensLeave(t *testing.T) {
+	c := qt.New(t)
+	const window = 5 * time.Second
+	for range 200 {
+		var w windowCount
+		now := at(0)
+		for range rand.IntN(20) {
+			now = now.Add(rand.N(time.Second))
+			w.add(1+rand.IntN(5), now, window)
+		}
+		tokens := float64(rand.IntN(30))
+		wait := w.untilAtMost(tokens, now, window)
+		early := w
+		c.Assert(w.sum(now.Add(wait), window) <= tokens, qt.IsTrue, qt.Commentf("after %v", wait))
+		if wait > 0 {
+			c.Assert(early.sum(now.Add(wait-time.Nanosecond), window) > tokens, qt.IsTrue, qt.Commentf("before %v", wait))
+		}
+	}
+}
+
 // Guards against using a token that expired unused or was returned after its expiry: it
 // was counted in an earlier window.
 func TestTokensExpire(t *testing.T) {
--- a/quota/window.go
+++ b/quota/window.go
@@ -38,6 +38,24 @@
 	w.total += uint32(tokens)
 }
 
+// untilAtMost returns the time until the window has at most this many tokens, if none is
+// added.
+func (w *windowCount) untilAtMost(tokens float64, now time.Time, window time.Duration) time.Duration {
+	index := sliceIndex(now, window)
+	w.slide(index)
+	count := int64(len(w.slices))
+	left := float64(w.total)
+	for oldest := w.latest - count + 1; oldest <= w.latest; oldest++ {
+		if left <= max(tokens, 0)+roundingTolerance {
+			return max(sliceStart(oldest-1+count, window).Sub(now), 0)
+		}
+		if slice := &w.slices[max(oldest, 0)%count]; slice.index == oldest {
+			left -= float64(slice.count)
+		}
+	}
+	return max(sliceStart(w.latest+count, window).Sub(now), 0)
+}
+
 // slide clears the slices that have left the window.
 func (w *windowCount) slide(index int64) {
 	if index <= w.latest {
@@ -58,3 +76,8 @@
 func sliceIndex(now time.Time, window time.Duration) int64 {
 	return max(int64(now.Sub(windowOrigin)/(window/windowSlices)), 0)
 }
+
+// sliceStart returns when a slice begins.
+func sliceStart(index int64, window time.Duration) time.Time {
+	return windowOrigin.Add(time.Duration(index) * (window / windowSlices))
+}
