--- a/admission/gate.go
+++ b/admission/gate.go
@@ -123,7 +123,7 @@
 	profile := g.profile(r.Profile)
 	if reason := g.precheck(shard, profile, r, now); reason != call.ReasonNone {
 		g.visits.Put(v)
-		return Ticket{}, g.refuse(shard, reason, r)
+		return Ticket{}, g.refuse(shard, reason, r, 0)
 	}
 	if !g.rateLimited.Load() && g.takeCapacity(shard) {
 		shard.admitted.Add(1)
@@ -194,18 +194,16 @@
 	g.tickIfDue(now)
 }
 
-// refuse counts a refusal and returns its error.
-func (g *Gate) refuse(shard *statShard, reason call.Reason, r Request) *RefusedError {
+// refuse counts a refusal and returns its error. expectedWait is the time in which the
+// calls ahead in the queue are dispatched.
+func (g *Gate) refuse(shard *statShard, reason call.Reason, r Request, expectedWait time.Duration) *RefusedError {
 	shard.refused[reasonIndex(reason)].Add(1)
 	admit := call.Level(g.level.Load())
-	return &RefusedError{Reason: reason, Level: admit, RetryAfter: retryAfter(reason, r, admit)}
+	return &RefusedError{Reason: reason, Level: admit, RetryAfter: g.retryAfter(reason, r, admit, expectedWait)}
 }
 
 // Parameters of RetryAfter.
 const (
-	// shortRetryAfter applies to refusals that don't depend on the admission
-	// level.
-	shortRetryAfter = 100 * time.Millisecond
 	// levelRetryRecovery and levelRetryGoodput are the delays, at Preference 0
 	// and 1, of calls just below the admission level. Each further priority
 	// below it adds the same delay again.
@@ -215,16 +213,20 @@
 	maxRetrySteps = 8
 )
 
-// retryAfter spreads the retries of refused calls over time: the further a
-// call's level is below the admission level, the longer it waits. The delays
-// are short if the call prefers a short recovery time, because a client that
-// was refused at the end of a surge gets no response until its retry.
-func retryAfter(reason call.Reason, r Request, admit call.Level) time.Duration {
+// retryAfter returns when a refused call may be admitted. A call that was refused
+// because of the queue has room when the calls ahead of it have been dispatched, and
+// not before the gate's next measurement.
+//
+// Otherwise, the further a call's level is below the admission level, the longer
+// it waits. The delays are short if the call prefers a short recovery time,
+// because a client that was refused at the end of a surge gets no response until
+// its retry.
+func (g *Gate) retryAfter(reason call.Reason, r Request, admit call.Level, expectedWait time.Duration) time.Duration {
 	switch reason {
 	case call.ReasonDraining, call.ReasonCancelled:
 		return 0
 	case call.ReasonQueueFull, call.ReasonQueueWait, call.ReasonUpstreamLimit, call.ReasonDeadline:
-		return shortRetryAfter
+		return max(expectedWait, g.config.Window)
 	}
 	step := levelRetryRecovery + time.Duration(r.Preference*float64(levelRetryGoodput-levelRetryRecovery))
 	prioritiesBelow := float64(max(int(admit)-int(r.Level), 0)) / float64(call.MaxTiebreak+1)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -42,10 +42,10 @@
 	// expires.
 	expiryReason call.Reason
 	queued       bool
-	// reason is set, and done is signalled, in the one step that removes the
+	// refused is set, and done is signalled, in the one step that removes the
 	// waiter from the queue. ReasonNone means dispatched.
-	reason call.Reason
-	done   chan struct{}
+	refused queueRefusal
+	done    chan struct{}
 
 	prev, next *waiter
 }
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -23,7 +23,7 @@
 		// The gate was closed since precheck, and its queue may have been cleared.
 		g.mu.Unlock()
 		g.visits.Put(v)
-		return Ticket{}, g.refuse(shard, call.ReasonDraining, r)
+		return Ticket{}, g.refuse(shard, call.ReasonDraining, r, 0)
 	}
 	g.reclaimReserves()
 	if g.queue.size == 0 && g.takeQueuedCapacity(now) {
@@ -34,29 +34,34 @@
 	if g.rate.untilDue(now) == 0 {
 		g.window.capacityExhausted = true
 	}
-	w, reason := g.enqueue(ctx, r, p, now)
+	w, refused := g.enqueue(ctx, r, p, now)
 	g.reclaimReserves()
 	g.dispatch(now)
 	g.mu.Unlock()
-	if reason != call.ReasonNone {
-		g.visits.Put(v)
-		return Ticket{}, g.refuse(shard, reason, r)
+	if w != nil {
+		g.await(ctx, w, now)
+		refused = w.refused
+		g.recycle(w)
 	}
-	g.await(ctx, w, now)
-	reason = w.reason
 	end := g.now()
-	g.recycle(w)
-	if reason != call.ReasonNone {
+	if refused.reason != call.ReasonNone {
 		g.visits.Put(v)
-		return Ticket{}, g.refuse(shard, reason, r)
+		return Ticket{}, g.refuse(shard, refused.reason, r, refused.expectedWait)
 	}
 	shard.admitted.Add(1)
 	return v.begin(p, end, end-now), nil
 }
 
-// enqueue queues the call, or returns the reason why queueing it would be
-// useless. The gate's lock is held.
-func (g *Gate) enqueue(ctx context.Context, r Request, p *profileStats, now time.Duration) (*waiter, call.Reason) {
+// queueRefusal is the reason for which the queue refused a call, ReasonNone if it did
+// not, and the time in which the calls ahead of it are dispatched.
+type queueRefusal struct {
+	reason       call.Reason
+	expectedWait time.Duration
+}
+
+// enqueue queues the call, or returns nil and why queueing it would be useless.
+// The gate's lock is held.
+func (g *Gate) enqueue(ctx context.Context, r Request, p *profileStats, now time.Duration) (*waiter, queueRefusal) {
 	maxWait := g.config.queueWaitLimit(r.Preference)
 	g.window.preferenceSum += r.Preference
 	g.window.preferenceCount++
@@ -79,9 +84,10 @@
 		reason = call.ReasonUpstreamLimit
 	}
 	c := classOf(r)
-	if g.expectedWait(c, now) >= maxWait {
+	expectedWait := g.expectedWait(c, now)
+	if expectedWait >= maxWait {
 		g.window.queueRefused++
-		return nil, reason
+		return nil, queueRefusal{reason, expectedWait}
 	}
 	w := g.newWaiter()
 	w.class = c
@@ -93,13 +99,13 @@
 	if !ok {
 		g.window.queueRefused++
 		g.waiters = append(g.waiters, w)
-		return nil, call.ReasonQueueFull
+		return nil, queueRefusal{call.ReasonQueueFull, expectedWait}
 	}
 	if evicted != nil {
 		g.resolve(evicted, call.ReasonQueueFull, now)
 	}
 	g.word.Or(queuedFlag)
-	return w, call.ReasonNone
+	return w, queueRefusal{}
 }
 
 // expectedWait estimates how long a new call of class c has to wait for the
@@ -190,7 +196,10 @@
 	if reason == call.ReasonQueueFull || reason == w.expiryReason {
 		g.window.queueRefused++
 	}
-	w.reason = reason
+	w.refused = queueRefusal{reason: reason}
+	if reason != call.ReasonNone {
+		w.refused.expectedWait = g.expectedWait(w.class, now)
+	}
 	w.done <- struct{}{}
 }
 
