--- a/admission/gate.go
+++ b/admission/gate.go
@@ -30,8 +30,13 @@
 	// Config.MaxQueueWait. Zero means Config.MaxQueueWait; a negative value
 	// means that the call is not queued.
 	MaxWait time.Duration
-	// Deadline is when the caller stops waiting. Zero means no deadline.
+	// Deadline is when the caller stops waiting. Zero means no deadline. A call is
+	// queued no longer than its work fits before its deadline.
 	Deadline time.Time
+	// Upstreams is the number of upstreams that the call may be sent to, this one
+	// included. Each of them may queue it, so this gate queues it for an equal part
+	// of the time that is left beside its work. Zero means 1.
+	Upstreams int
 	// IgnoreMaxQueueWait lets the call be queued for all of MaxWait, even beyond
 	// Config.MaxQueueWait. It is meant for work whose loss is worse than a
 	// longer queue.
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,9 @@
 	// guards both.
 	mean       float64
 	lastDemand uint64
+	// deviation is the standard deviation of the total service time, in nanoseconds.
+	// The gate's lock guards it.
+	deviation float64
 	// demand counts the calls that the arrivals stand for, refused ones
 	// included, in thousandths of a call; see demandOf.
 	demand atomic.Uint64
@@ -76,29 +80,57 @@
 	count   atomic.Uint64
 	self    atomic.Int64
 	service atomic.Int64
-	_       [cacheLine - 3*8]byte
+	// squares is the sum of the squared total service times, in microseconds.
+	squares atomic.Uint64
+	_       [cacheLine - 4*8]byte
 }
 
+// maxSquared bounds the times whose squares are added, so that the sum of a window does
+// not overflow.
+const maxSquared = 100 * time.Second
+
 func (s *profileShard) record(self, service time.Duration) {
 	s.self.Add(int64(self))
 	s.service.Add(int64(service))
+	us := uint64(min(max(service, 0), maxSquared).Microseconds())
+	s.squares.Add(us * us)
 	s.count.Add(1)
 }
 
+// profileSums are the sums of a profile's measurements.
+type profileSums struct {
+	count         uint64
+	self, service time.Duration
+	// squares is in microseconds, squared.
+	squares uint64
+}
+
 // take returns the measurements and resets them. A visit recorded at the same
 // time may be split over two windows, which changes a mean by less than one
 // sample.
-func (p *profileStats) take() (count uint64, self, service time.Duration) {
+func (p *profileStats) take() (sums profileSums) {
 	for i := range p.shards {
 		s := &p.shards[i]
 		if s.count.Load() == 0 {
 			continue
 		}
-		count += s.count.Swap(0)
-		self += time.Duration(s.self.Swap(0))
-		service += time.Duration(s.service.Swap(0))
+		sums.count += s.count.Swap(0)
+		sums.self += time.Duration(s.self.Swap(0))
+		sums.service += time.Duration(s.service.Swap(0))
+		sums.squares += s.squares.Swap(0)
 	}
-	return count, self, service
+	return sums
+}
+
+// mean returns the mean of the total service times, in nanoseconds.
+func (s profileSums) mean() float64 { return float64(s.service) / float64(s.count) }
+
+// deviationFrom returns the root of the mean squared distance of the total service times
+// from a value, in nanoseconds.
+func (s profileSums) deviationFrom(value float64) float64 {
+	const microsecond = float64(time.Microsecond)
+	meanSquare := float64(s.squares) / float64(s.count) * microsecond * microsecond
+	return math.Sqrt(max(meanSquare-2*value*s.mean()+value*value, 0))
 }
 
 func (p *profileStats) pending() uint64 {
@@ -128,12 +160,15 @@
 	p.service.Store(int64(mean))
 }
 
-// learnMean moves the mean service time towards the mean of a window.
-func (p *profileStats) learnMean(window float64) {
+// learnMean moves the mean service time and its deviation towards those of a window.
+func (p *profileStats) learnMean(window profileSums) {
+	mean := window.mean()
 	if p.mean == 0 {
-		p.mean = window
+		p.mean = mean
+		p.deviation = window.deviationFrom(mean)
 	}
-	p.mean += meanWeight * (window - p.mean)
+	p.mean += meanWeight * (mean - p.mean)
+	p.deviation += meanWeight * (window.deviationFrom(p.mean) - p.deviation)
 }
 
 // demandOf returns the number of calls that an arrival stands for, in
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -71,17 +71,23 @@
 	case r.MaxWait != 0:
 		maxWait = min(maxWait, max(r.MaxWait, 0))
 	}
-	reason := call.ReasonQueueWait
+	reason, expiryReason := call.ReasonQueueWait, call.ReasonQueueWait
+	work := p.longWork()
 	if !r.Deadline.IsZero() {
-		left := r.Deadline.Sub(g.epoch) - now - time.Duration(p.service.Load())
-		if left < maxWait {
-			maxWait = left
+		share := queueShare(r.Deadline.Sub(g.epoch)-now, work, r.Upstreams)
+		maxWait = min(maxWait, share)
+		// Once no time is left beside the work, no other upstream can finish the call in
+		// time either.
+		if share <= 0 {
 			reason = call.ReasonDeadline
 		}
+		if maxWait == share && r.Upstreams <= 1 {
+			expiryReason = call.ReasonDeadline
+		}
 	}
 	if g.rate.limited {
 		// Another upstream may have no such limit, so the call is not refused for good.
-		reason = call.ReasonUpstreamLimit
+		reason, expiryReason = call.ReasonUpstreamLimit, call.ReasonUpstreamLimit
 	}
 	c := classOf(r)
 	expectedWait := g.expectedWait(c, now)
@@ -93,7 +99,7 @@
 	w.class = c
 	w.queuedAt = now
 	w.expires = now + maxWait
-	w.expiryReason = reason
+	w.expiryReason = expiryReason
 	w.ctx = ctx
 	evicted, ok := g.queue.push(w)
 	if !ok {
--- a/admission/window.go
+++ b/admission/window.go
@@ -157,13 +157,13 @@
 			p.decayService()
 			continue
 		}
-		n, s, all := p.take()
-		p.learnService(all / time.Duration(n))
-		p.learnMean(float64(all) / float64(n))
-		w.samples = append(w.samples, sample{profile: p, count: n, self: s})
-		count += n
-		self += s
-		service += all
+		sums := p.take()
+		p.learnService(sums.service / time.Duration(sums.count))
+		p.learnMean(sums)
+		w.samples = append(w.samples, sample{profile: p, count: sums.count, self: sums.self})
+		count += sums.count
+		self += sums.self
+		service += sums.service
 	}
 	m.samples = w.samples
 	m.peakActive, _ = g.counts()
--- a/node/local_admission.go
+++ b/node/local_admission.go
@@ -19,6 +19,7 @@
 		Progress:      req.call.Progress,
 		MaxWait:       time.Duration(req.profile.MaxWait),
 		Deadline:      req.deadline,
+		Upstreams:     n.upstreamsOf(req),
 		// An unrepeatable call may wait for all of its profile's MaxWait, whatever
 		// the gate's own limit. Otherwise a payment for which earlier hops have
 		// already done work would be refused here after a short wait, although the
@@ -34,10 +35,21 @@
 	if n.settings.Ablate.NoAdmission {
 		r.Level = call.MaxLevel
 		r.MaxWait = time.Duration(req.profile.Deadline)
+		r.Upstreams = 1
 	}
 	return r
 }
 
+// upstreamsOf returns the number of upstreams that a call may be sent to. Without a dialect
+// the credit of a request is split over the whole call chain, and operators bound its waits by
+// the profile's MaxWait.
+func (n *Node) upstreamsOf(req *request) int {
+	if !n.usesDialect() {
+		return 1
+	}
+	return req.profile.Credit + 1
+}
+
 // gateRefusal turns a rejection by the gate into an answer. The call was never
 // dispatched, so it is proved not run.
 func (n *Node) gateRefusal(req *request, err error, arrived time.Time) *answer {
--- a/node/pressed.go
+++ b/node/pressed.go
@@ -6,6 +6,7 @@
 
 	"pollengauge.dev/admission"
 	"pollengauge.dev/call"
+	"pollengauge.dev/config"
 )
 
 // Limits of the gate where a dialect is used.
@@ -17,8 +18,9 @@
 	// queueLimit only bounds memory: a request that would wait too long is refused on
 	// arrival.
 	queueLimit = 4096
-	// maxQueueWait is so long that the profile's own maximum wait bounds the queue.
-	maxQueueWait = 2 * time.Second
+	// maxQueueWait leaves it to the deadline and the profile's own maximum wait to bound
+	// the queue.
+	maxQueueWait = time.Duration(config.MaxDeadline)
 )
 
 // refuseOverloaded refuses a root request that leads to an overloaded upstream. It
