--- a/admission/queue.go
+++ b/admission/queue.go
@@ -38,6 +38,8 @@
 	class    class
 	queuedAt time.Duration
 	expires  time.Duration
+	// latestStart is when the call must start for its work to end before its deadline.
+	latestStart time.Duration
 	// expiryReason is the reason for the refusal if the waiter is still queued at
 	// expires.
 	expiryReason call.Reason
@@ -50,12 +52,13 @@
 	prev, next *waiter
 }
 
-// waitList is the list of waiters of one class, oldest first.
+// waitList is the list of waiters of one class, by their latest start and then by their
+// arrival.
 type waitList struct{ first, last *waiter }
 
 // queue is a bounded queue ordered by class. The time of every operation is
-// bounded, whatever the number of waiters. The caller must hold the gate's
-// lock.
+// bounded by the limit. Adding a waiter takes constant time if it has the latest start
+// of its class, as most have. The caller must hold the gate's lock.
 type queue struct {
 	limit int
 	size  int
@@ -88,14 +91,20 @@
 
 func (q *queue) add(w *waiter) {
 	list := &q.lists[w.class]
-	w.prev = list.last
-	w.next = nil
-	if list.last != nil {
-		list.last.next = w
+	w.prev, w.next = list.last, nil
+	for w.prev != nil && w.prev.latestStart > w.latestStart {
+		w.prev, w.next = w.prev.prev, w.prev
+	}
+	if w.prev != nil {
+		w.prev.next = w
 	} else {
 		list.first = w
 	}
-	list.last = w
+	if w.next != nil {
+		w.next.prev = w
+	} else {
+		list.last = w
+	}
 	w.queued = true
 	q.occupied[w.class/wordBits] |= 1 << (w.class % wordBits)
 	q.groupSizes[w.class.group()]++
@@ -125,14 +134,15 @@
 	q.size--
 }
 
-// mostImportant returns the waiter to dispatch next, or nil if the queue is empty.
-func (q *queue) mostImportant(newestFirst bool) *waiter {
+// mostImportant returns the waiter to dispatch next, or nil if the queue is empty. It is
+// the one of the highest class with the earliest latest start, or with the latest one.
+func (q *queue) mostImportant(latestFirst bool) *waiter {
 	for i := len(q.occupied) - 1; i >= 0; i-- {
 		if q.occupied[i] == 0 {
 			continue
 		}
 		list := &q.lists[i*wordBits+bits.Len64(q.occupied[i])-1]
-		if newestFirst {
+		if latestFirst {
 			return list.last
 		}
 		return list.first
@@ -141,7 +151,7 @@
 }
 
 // leastImportant returns the waiter to evict, or nil if the queue is empty. It
-// is the oldest waiter of the lowest class, which has the least time left.
+// is the waiter of the lowest class that has the least time left until its latest start.
 func (q *queue) leastImportant() *waiter {
 	for i, word := range q.occupied {
 		if word != 0 {
@@ -175,9 +185,10 @@
 	found := false
 	for i, word := range q.occupied {
 		for ; word != 0; word &= word - 1 {
-			first := q.lists[i*wordBits+bits.TrailingZeros64(word)].first
-			if !found || first.queuedAt < since {
-				since, found = first.queuedAt, true
+			for w := q.lists[i*wordBits+bits.TrailingZeros64(word)].first; w != nil; w = w.next {
+				if !found || w.queuedAt < since {
+					since, found = w.queuedAt, true
+				}
 			}
 		}
 	}
--- a/admission/queuewait.go
+++ b/admission/queuewait.go
@@ -14,6 +14,18 @@
 	return (left - work) / time.Duration(max(upstreams, 1))
 }
 
+// noLatestStart is the latest start of a call without a deadline.
+const noLatestStart = time.Duration(1<<63 - 1)
+
+// latestStart returns the time at which a call must start for its work to end before its
+// deadline.
+func (g *Gate) latestStart(r Request, work time.Duration) time.Duration {
+	if r.Deadline.IsZero() {
+		return noLatestStart
+	}
+	return r.Deadline.Sub(g.epoch) - work
+}
+
 // longWork returns the time that most calls of the profile take at most: the mean and a
 // standard deviation. About half of the calls that start with the mean left would fail after
 // their work was done. The gate's lock is held.
--- a/admission/queuewait_test.go
+++ b/admission/queuewait_test.go
@@ -63,6 +63,46 @@
 	})
 }
 
+// Guards against evicting the call that came first although another one has less time left.
+func TestTheCallWithTheLeastTimeLeftIsEvicted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		g := measured(c, 2)
+		_, err := g.Acquire(t.Context(), Request{})
+		c.Assert(err, qt.IsNil)
+		now := time.Now()
+		older := start(t.Context(), g, Request{Profile: "read", Deadline: now.Add(5 * time.Second)})
+		shorter := start(t.Context(), g, Request{Profile: "read", Deadline: now.Add(200 * time.Millisecond)})
+		start(t.Context(), g, Request{Profile: "read", Level: call.MaxLevel, Deadline: now.Add(5 * time.Second)})
+		c.Check(shorter.reason(), qt.Equals, call.ReasonQueueFull)
+		c.Check(older.ended, qt.IsFalse)
+	})
+}
+
+// Guards against an order by arrival: of two calls of one level that both fit, the one whose
+// deadline is nearer would be too late. In an overload only one of them fits, and the other one
+// would waste the capacity.
+func TestOrderWithinALevelFollowsTheTimeLeft(t *testing.T) {
+	for _, overloaded := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			g := measured(c, 4)
+			if overloaded {
+				g.levelController.calmWindows = 0
+			}
+			busy, err := g.Acquire(t.Context(), Request{})
+			c.Assert(err, qt.IsNil)
+			now := time.Now()
+			long := start(t.Context(), g, Request{Profile: "read", Deadline: now.Add(5 * time.Second)})
+			short := start(t.Context(), g, Request{Profile: "read", Deadline: now.Add(300 * time.Millisecond)})
+			busy.Release(Ignore)
+			synctest.Wait()
+			c.Check(long.ended, qt.Equals, overloaded)
+			c.Check(short.ended, qt.Equals, !overloaded)
+		})
+	}
+}
+
 // Guards against calls that return to a queue before those ahead of them have left it.
 func TestRetryAfterOfAQueueFollowsItsPace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -99,6 +99,7 @@
 	w.class = c
 	w.queuedAt = now
 	w.expires = now + maxWait
+	w.latestStart = g.latestStart(r, work)
 	w.expiryReason = expiryReason
 	w.ctx = ctx
 	evicted, ok := g.queue.push(w)
@@ -163,9 +164,11 @@
 // dispatch admits queued calls while there is free capacity. The gate's lock is
 // held.
 func (g *Gate) dispatch(now time.Duration) {
-	newestFirst := g.levelController.calmWindows == 0
+	// In an overload not all calls can start in time. Those that have waited longest
+	// would each take the place of one that could still be finished.
+	latestFirst := g.levelController.calmWindows == 0
 	for {
-		w := g.queue.mostImportant(newestFirst)
+		w := g.queue.mostImportant(latestFirst)
 		if w == nil {
 			break
 		}
