--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -4,10 +4,10 @@
 
 // Parameters of pressure.
 const (
-	// pressureWindow is the interval at which the pressure is updated. It is
+	// PressureWindow is the interval at which the pressure is updated. It is
 	// well below the time until a change takes effect, which is the duration of
 	// a complete request.
-	pressureWindow = 100 * time.Millisecond
+	PressureWindow = 100 * time.Millisecond
 	// pressureTargetLoad is the target for the offered load, as a share of the
 	// limit. Load above it only queues.
 	pressureTargetLoad = 0.95
--- a/admission/pressure_test.go
+++ b/admission/pressure_test.go
@@ -98,7 +98,7 @@
 // requests are admitted.
 func TestPressureHoldsADeepUpstreamAtItsCapacity(t *testing.T) {
 	c := qt.New(t)
-	const perSecond = int(time.Second / pressureWindow)
+	const perSecond = int(time.Second / PressureWindow)
 	ch := &simulatedUpstream{capacity: 800, calls: 8, delay: 4}
 	var begun, refused float64
 	for window := range 8 * perSecond {
--- a/admission/shedder.go
+++ b/admission/shedder.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// Work returns how long a request of the profile occupies slots of the overloaded upstream,
+// 0 if that is unknown.
+func (s *Shedder) Work(profile string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.profiles[profile]
+	if h == nil {
+		return 0
+	}
+	return time.Duration(h.work * float64(time.Millisecond))
+}
+
 // Pressure returns the last known pressure of a profile.
 func (s *Shedder) Pressure(profile string, now time.Time) float64 {
 	s.mu.Lock()
--- a/admission/window.go
+++ b/admission/window.go
@@ -105,7 +105,7 @@
 	p.waitCount += w.waitCount
 	p.refused += w.queueRefused
 	elapsed := now - p.since
-	if elapsed < pressureWindow {
+	if elapsed < PressureWindow {
 		return
 	}
 	p.since = now
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pollengauge.dev/admission"
 	"pollengauge.dev/call"
 	"pollengauge.dev/retry"
 )
@@ -170,7 +171,7 @@
 func (n *Node) retryAfter(a *answer, req *request) time.Duration {
 	r := randPool.Get().(*rand.Rand)
 	defer randPool.Put(r)
-	base, limit := retryAfterBounds(req)
+	base, limit := n.retryAfterBounds(req)
 	return retry.After(retry.AfterInput{
 		Base:         base,
 		Max:          limit,
@@ -181,21 +182,20 @@
 	}, r)
 }
 
-// Fractions of a profile's target that bound the Retry-After of a refusal.
-const (
-	retryAfterBaseShare = 0.15
-	retryAfterMaxShare  = 0.6
-)
-
-// retryAfterBounds returns bounds that keep the Retry-After so short that the answer to the
-// next try can still arrive within the profile's target, when it is worth most to the
-// caller. Without a target it returns zeros, which stand for the defaults.
-func retryAfterBounds(req *request) (base, limit time.Duration) {
-	if req.profile == nil || req.profile.Target == 0 {
+// retryAfterBounds returns the bounds of the Retry-After of a refusal. The service has used
+// each of its slots once after the work of one request, and the share of refused requests is
+// not computed anew sooner than after a pressure window. A caller that returns with less time
+// left than its request takes can't be served.
+//
+// Without a dialect it returns zeros, which stand for the defaults: Retry-After has whole
+// seconds there, and callers don't state how long they wait.
+func (n *Node) retryAfterBounds(req *request) (base, limit time.Duration) {
+	if req.profile == nil || !n.usesDialect() {
 		return 0, 0
 	}
-	target := float64(req.profile.Target)
-	return time.Duration(retryAfterBaseShare * target), time.Duration(retryAfterMaxShare * target)
+	work := n.shedder.Work(req.call.Profile)
+	base = max(work, admission.PressureWindow)
+	return base, max(req.deadline.Sub(n.now())-work, base)
 }
 
 // profilePreference returns what the request's profile prefers. It is 0 (goodput) for a call
--- a/retry/after.go
+++ b/retry/after.go
@@ -37,10 +37,11 @@
 	// recovery time (1). Values near 1 spread the returning callers over a
 	// longer time, which leaves capacity for new callers.
 	Recovery float64
-	// Base is the shortest hint. A longer one gives the service more time to
-	// recover and keeps callers waiting longer. Default 1 s.
+	// Base is the shortest hint: the time in which the service has room for as many
+	// requests as it serves at once, which is about the work of one request. Default 1 s.
 	Base time.Duration
-	// Max is the longest hint. Default 60 s.
+	// Max is the longest hint, such as the time after which the caller has too little
+	// left for its request. A Max below Base counts as Base. Default 60 s.
 	Max time.Duration
 }
 
