--- a/config/set.go
+++ b/config/set.go
@@ -59,9 +59,9 @@
 	// stops work whose caller has stopped waiting.
 	Deadline Duration `json:"deadline" yaml:"deadline"`
 
-	// Target is the response time up to which a response has its full value, 0 for the
-	// deadline. Retry-After values are chosen so that the answer to a retry can still
-	// arrive within it; MaxWait, not Target, limits the queue wait.
+	// Target is the response time that operators want for most requests, 0 for the
+	// deadline. It is only observed: a metric counts the answers within it, and no
+	// decision about a request depends on it.
 	Target Duration `json:"target,omitempty" yaml:"target,omitempty"`
 
 	// MaxWait is the maximum queueing time at any one hop. A longer wait absorbs
@@ -91,6 +91,15 @@
 	CallerHeader string `json:"callerHeader,omitempty" yaml:"callerHeader,omitempty"`
 }
 
+// ObjectiveTime returns the response time that operators want for most requests: Target, or
+// Deadline if there is none.
+func (p *Profile) ObjectiveTime() time.Duration {
+	if p.Target == 0 {
+		return time.Duration(p.Deadline)
+	}
+	return time.Duration(p.Target)
+}
+
 // Brownout controls when stored responses may be served for repeatable reads.
 type Brownout struct {
 	// MaxAge is the maximum age of a stored response that may be served, 0 to serve
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -176,15 +176,14 @@
 	n.writeRoot(w, r, run.req, run.answer)
 }
 
-// lateTurnShare is the fraction of a target from which the wait for earlier answers is
-// logged: an answer that was ready in time can be late because of it.
+// lateTurnShare is the fraction of the time until its deadline from which a request's wait
+// for earlier answers is logged: an answer that was ready in time can be late because of it.
 const lateTurnShare = 0.5
 
 // logLateTurn logs a request that was queued for long behind others on its connection.
 func (n *Node) logLateTurn(run *earlyRun, turn time.Time) {
 	waited := turn.Sub(run.begun)
-	target := time.Duration(run.req.profile.Target)
-	if target == 0 || float64(waited) < lateTurnShare*float64(target) {
+	if float64(waited) < lateTurnShare*float64(run.req.deadline.Sub(run.begun)) {
 		return
 	}
 	n.log.Emit(observe.TurnAwaited, observe.Str("request", call.ShortID(run.req.call.RequestID)),
--- a/node/pipelined_test.go
+++ b/node/pipelined_test.go
@@ -244,3 +244,34 @@
 		f.c.Check(early.Load(), qt.IsFalse)
 	})
 }
+
+// Guards against a warning about a wait that was short for the caller, and against an objective
+// that counts late answers: the deadline is 2 s, the target 1 s.
+func TestLateTurnsAndAnswersInTargetAreCounted(t *testing.T) {
+	for _, test := range []struct {
+		work            time.Duration
+		warned          bool
+		answersInTarget int64
+	}{
+		{600 * time.Millisecond, false, 2},
+		{1200 * time.Millisecond, true, 1},
+	} {
+		t.Run(test.work.String(), func(t *testing.T) {
+			inFleet(t, func(f *fleet) {
+				emitted := &events{}
+				n := f.addRouted("a", "desk", 10, func(w http.ResponseWriter, r *http.Request, call func(string, string, string) (*http.Response, error)) {
+					if r.Header.Get("X-Id") == "r0" {
+						time.Sleep(test.work)
+					}
+					echo(w, r, call)
+				}, logged(f.c, emitted))
+				f.settle()
+				conn := f.sendPipelined(n, "/browse/a", "/browse/b")
+				defer conn.Close()
+				f.expectInOrder(bufio.NewReader(conn), 2)
+				f.c.Check(emitted.has("turn-awaited"), qt.Equals, test.warned)
+				f.c.Check(n.metrics.Profile("read").InTarget.Count(), qt.Equals, test.answersInTarget)
+			})
+		})
+	}
+}
--- a/node/step_record.go
+++ b/node/step_record.go
@@ -18,6 +18,9 @@
 	profile := n.metrics.Profile(req.call.Profile)
 	profile.Call(a.report.Outcome, a.report.Reason)
 	profile.Total.Observe(took)
+	if a.report.Outcome == call.Complete && took <= req.profile.ObjectiveTime() {
+		profile.InTarget.Inc(1)
+	}
 	n.noteCallTime(req, a, took, ended)
 	if a.report.Outcome == call.Unknown && req.profile.Unrepeatable {
 		n.noteUnknown(req, a)
--- a/observe/events_answers.go
+++ b/observe/events_answers.go
@@ -12,6 +12,6 @@
 	KeyUnwitnessed  = defineEvent(5014, "key-unwitnessed", Warn, "No other member confirmed the notes of unrepeatable calls before their dispatch; the calls were dispatched all the same.", "Check the members of this region. If this VM is lost before the calls end, look them up at the upstream.")
 	LeaveUnheard    = defineEvent(3011, "leave-unheard", Warn, "The node left and no member confirmed its leave notice; the members will suspect it instead.", "None.")
 	BadRequest      = defineEvent(7013, "bad-request", Warn, "A request could not be understood and was refused as not run.", "Correct the caller.")
-	TurnAwaited     = defineEvent(7015, "turn-awaited", Info, "A request was queued behind earlier requests on its caller's connection for at least half of its profile's target latency; HTTP/1.1 sends responses in the order of the requests.", "Have the caller use more connections, or find out why the earlier responses were late.")
+	TurnAwaited     = defineEvent(7015, "turn-awaited", Info, "A request was queued behind earlier requests on its caller's connection for at least half of the time until its deadline; HTTP/1.1 sends responses in the order of the requests.", "Have the caller use more connections, or find out why the earlier responses were late.")
 	ServerComplaint = defineEvent(7014, "server-complaint", Debug, "The HTTP server complains about a connection.", noAction)
 )
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -98,9 +98,9 @@
 	Connections  Gauges
 	LogLinesLost Counters
 
-	calls, refused, attempts, retries, credits, brownouts Counters
-	queueWait, callTime                                   Histograms
-	levelBelow                                            Gauges
+	calls, refused, attempts, retries, credits, brownouts, inTarget Counters
+	queueWait, callTime                                             Histograms
+	levelBelow                                                      Gauges
 
 	processCPU, memory metrics.GaugeFloat64
 	goroutines         metrics.Gauge
@@ -132,6 +132,7 @@
 	m.retries = m.counters(retriesMetric)
 	m.credits = m.counters(creditsMetric)
 	m.brownouts = m.counters(brownoutsMetric)
+	m.inTarget = m.counters(inTargetMetric)
 	m.queueWait = m.histograms(queueWaitMetric)
 	m.callTime = m.histograms(callTimeMetric)
 	m.levelBelow = m.gauges(levelBelowMetric)
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -31,6 +31,7 @@
 	brownoutsMetric  = defineMetric("pollengauge_brownout_answers_total", CounterKind, unitCount, "Stored answers given in place of fresh ones.", "profile")
 	queueWaitMetric  = defineMetric("pollengauge_queue_wait_seconds", HistogramKind, unitSeconds, "Time from arrival to dispatch or refusal.", "profile")
 	callTimeMetric   = defineMetric("pollengauge_call_seconds", HistogramKind, unitSeconds, "Time from arrival to the whole answer.", "profile")
+	inTargetMetric   = defineMetric("pollengauge_answers_in_target_total", CounterKind, unitCount, "Complete answers that were ready within the profile's target; the share of them in all calls is the profile's objective.", "profile")
 	levelBelowMetric = defineMetric("pollengauge_level_below", GaugeKind, unitCount, "Highest admission level known of the hops below, as one number (priority times 128 plus tie-break).", "profile")
 )
 
--- a/observe/profile_metrics.go
+++ b/observe/profile_metrics.go
@@ -31,7 +31,7 @@
 type ProfileMetrics struct {
 	Inbound, Outbound                    metrics.Counter
 	Granted, HandedDown, Spent, Returned metrics.Counter
-	Brownouts                            metrics.Counter
+	Brownouts, InTarget                  metrics.Counter
 	QueueWait, Total                     *Histogram
 	LevelBelow                           metrics.Gauge
 
@@ -55,6 +55,7 @@
 		Spent:      m.credits.With(name, CreditSpent),
 		Returned:   m.credits.With(name, CreditReturned),
 		Brownouts:  m.brownouts.With(name),
+		InTarget:   m.inTarget.With(name),
 		QueueWait:  m.queueWait.With(name),
 		Total:      m.callTime.With(name),
 		LevelBelow: m.levelBelow.With(name),
