--- a/node/callers_test.go
+++ b/node/callers_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"pollengauge.dev/call"
 )
 
 func crashAll(http.ResponseWriter, *http.Request, func(string, string, string) (*http.Response, error)) {
@@ -53,6 +55,34 @@
 	}
 }
 
+// Guards against a caller whose first try was refused before any attempt, and whose retry is
+// then treated worse than other callers' first tries.
+func TestRetryAfterARefusalKeepsItsCredit(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		const credit = 2
+		f.apply(filingProfiles)
+		n := f.add("a", "portal", 10, crashAll)
+		f.add("b", "portal", 10, crashAll)
+		f.add("c", "portal", 10, crashAll)
+		f.settle()
+		for range 1000 {
+			n.budget.Load().OnFirst(time.Now()) // so that only the credit limits retries
+		}
+		header := []string{"X-Operation", "op", "X-Request-Id", "r1"}
+		profile := n.config.Current().Match("portal", http.MethodGet, "/x").Name
+		for range 1000 {
+			n.feedback.Observe(profile, call.MaxLevel, n.now())
+		}
+		f.c.Assert(f.ask(n, http.MethodGet, "/x", header...).status, qt.Equals, http.StatusServiceUnavailable)
+		f.c.Assert(f.runs.of("portal", "op"), qt.Equals, 0)
+		time.Sleep(time.Minute / 2)
+		f.ask(n, http.MethodGet, "/x", header...)
+		f.c.Check(f.runs.of("portal", "op"), qt.Equals, 1+credit, qt.Commentf("the retry of the refused request"))
+		f.ask(n, http.MethodGet, "/x", header...)
+		f.c.Check(f.runs.of("portal", "op"), qt.Equals, 1+credit+1, qt.Commentf("one more, whose credit is used"))
+	})
+}
+
 // A thousand callers arrive within a second at a service that takes a few, and each
 // retries when it was told to. If the hints were equal, the callers would return as
 // one burst and be refused together again.
--- a/node/edge.go
+++ b/node/edge.go
@@ -47,8 +47,9 @@
 // answerRoot runs a root request and returns its answer.
 func (n *Node) answerRoot(ctx context.Context, req *request) *answer {
 	start := n.now()
-	n.noteCallerRetry(req)
+	firstID := n.noteCallerRetry(req)
 	a := n.runRoot(ctx, req)
+	n.keepCredit(req, firstID)
 	n.nameInterruption(a, req, start)
 	n.finishRefusal(a, req)
 	n.recordRoot(req, a, start)
@@ -90,9 +91,11 @@
 // and must work under overload. A request that did not run returns its quota.
 func (n *Node) runRoot(ctx context.Context, req *request) *answer {
 	if refused := n.refuseUnfinishable(rootKind(req), req); refused != nil {
+		req.creditUnused = true
 		return refused
 	}
 	if refused := n.takeQuota(ctx, req); refused != nil {
+		req.creditUnused = true
 		return refused
 	}
 	n.placeFairly(req)
@@ -118,6 +121,7 @@
 // downstream hop would refuse. It dispatches all others.
 func (n *Node) admitAndDispatch(ctx context.Context, req *request) *answer {
 	if refused := n.refuseEarly(req); refused != nil {
+		req.creditUnused = true
 		if stale := n.brownout(req); stale != nil {
 			return stale
 		}
@@ -174,6 +178,7 @@
 	n.feedback.Observe(req.call.Profile, a.report.HighestAdmitLevel, n.now())
 	n.recordPressure(req, a)
 	a.report.CreditLeft = credit.Left()
+	req.creditUnused = a.report.CreditLeft == req.call.Credit
 	return a
 }
 
--- a/node/request.go
+++ b/node/request.go
@@ -35,6 +35,9 @@
 	profile *config.Profile
 	// key is the idempotency key, "" if there is none.
 	key string
+	// creditUnused is set at the root once the request has ended without any use of its
+	// retry credit.
+	creditUnused bool
 	// callerSetID reports whether the caller supplied the request id.
 	callerSetID bool
 	deadline    time.Time
--- a/node/root_request.go
+++ b/node/root_request.go
@@ -95,18 +95,28 @@
 const callerRetry = "caller"
 
 // noteCallerRetry recognizes a caller's own retry by its idempotency key or its request id,
-// and gives it no retry credit: the first request already received the credit.
-func (n *Node) noteCallerRetry(req *request) {
+// and gives it no retry credit if the first request used its own. The retries of one request
+// are bounded over the whole call chain, to which its caller belongs. It returns the id if this
+// is the first request, and "" otherwise.
+func (n *Node) noteCallerRetry(req *request) (firstID string) {
 	id := req.key
 	if id == "" && req.callerSetID {
 		id = req.call.RequestID
 	}
 	if id == "" {
-		return
+		return ""
 	}
 	if n.repeats.Seen(id, n.now()) == 0 {
-		return
+		return id
 	}
 	req.call.Credit = 0
 	n.metrics.Profile(req.call.Profile).Retry(callerRetry)
+	return ""
+}
+
+// keepCredit lets the retry of a request that used none of its credit begin with all of it.
+func (n *Node) keepCredit(req *request, firstID string) {
+	if firstID != "" && req.creditUnused {
+		n.repeats.Forget(firstID, n.now())
+	}
 }
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -13,7 +13,7 @@
 //   - Ration gives the retries of a budget, when more are requested than it
 //     covers, to the requests that need the fewest further calls.
 //   - RepeatDetector recognizes the callers' own retries, so that they don't start
-//     with new credit.
+//     with new credit if the first request used its own.
 //
 // A node uses them in this order:
 //
@@ -23,6 +23,7 @@
 //	credit.Return(lent, report.CreditLeft) // not when the answer was lost
 //	verdict := retry.Claim(decision, credit, account, now)
 //	left := credit.Left()                  // sent with the answer
+//	repeats.Forget(id, now)                // at a root, if the credit was not used
 //	hint := retry.After(refused, random)   // for Retry-After, if it is a refusal
 //
 // The package does no I/O and starts no goroutine. Times and random numbers are
--- a/retry/repeats.go
+++ b/retry/repeats.go
@@ -40,8 +40,10 @@
 }
 
 // RepeatDetector recognizes requests that callers send again, by idempotency key or
-// request id. Without it each retry by a client would start with a new credit, and a
-// burst of client retries would multiply downstream.
+// request id. The retries of one request are bounded over the whole call chain, its
+// caller included. Without the detector each retry by a client would start with a new
+// credit, and a burst of client retries would multiply downstream. A request that used
+// none of its credit should be forgotten, so that its retry is treated like a first one.
 //
 // It is a set-associative table of fixed size: sets of eight entries, each with
 // the id's 64-bit hash, the time when it was last seen and a count. If two ids
@@ -112,6 +114,18 @@
 	return int(entry.count)
 }
 
+// Forget removes the id, so that it counts as seen for the first time again.
+func (r *RepeatDetector) Forget(id string, now time.Time) {
+	hash := xxh3.HashStringSeed(id, r.seed)
+	shard := &r.shards[hash%repeatsShards]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	set := &shard.sets[hash/repeatsShards%uint64(len(shard.sets))]
+	if entry := set.find(hash, r.stamp(now)); entry.hash == hash {
+		*entry = repeatsEntry{}
+	}
+}
+
 // stamp converts a time to milliseconds that wrap around after 49 days, so an
 // entry of that age would look new again. The value 0 is reserved for empty
 // entries.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -151,6 +151,11 @@
 					t.Fatalf("id %s seen %d times, want %d", id, got, exact[id])
 				}
 			},
+			"forget": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id"))
+				repeats.Forget(id, now)
+				delete(last, id)
+			},
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			},
