--- a/node/budget.go
+++ b/node/budget.go
@@ -60,7 +60,9 @@
 
 // payFirstAttempt counts the first attempt of a call. A call made by a visit that is a
 // retry earns no retries and counts as a retry itself; payFirstAttempt returns a refusal
-// if the retry budget doesn't allow it.
+// if the retry budget doesn't allow it. The limit that the platform sets on retries is
+// defined that way, and is the only reason to tell these calls from others: a caller's own
+// retry is a new request.
 //
 // When a service in the middle of the call graph fails, its calls are retried, and
 // each repeated visit makes its own calls again. If these counted as first calls, they
--- a/routing/quicker.go
+++ b/routing/quicker.go
@@ -9,9 +9,8 @@
 // three, when one zone has the slow ones. Without it, calls near their deadline
 // ran out of time in that zone while fast upstreams in the next zone had free
 // slots. A saving of less than a fortieth of the time left rarely decides
-// whether a call meets its deadline, and each call that leaves costs traffic
-// between zones. On a calm day of 14,450 requests, 50 failed without this rule,
-// 25 with the bounds at 50 and 100, and 15 with the bounds used here.
+// whether a call meets its deadline, and a call that leaves its zone takes the
+// longer way.
 const (
 	minSavedShare  = 25
 	fullSavedShare = 60
