--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -43,6 +44,7 @@
 		for range observe.DefaultEventBurst + 80 {
 			n.log.Emit(observe.DrainTimeout)
 		}
+		synctest.Wait() // until the connections of the answered requests are closed
 		f.c.Check(f.metric(n, `pollengauge_retry_budget_left{service="desk"}`), qt.Equals, "4")
 		f.c.Check(f.metric(n, `pollengauge_service_level{service="desk"}`), qt.Equals, "0")
 		f.c.Check(f.metric(n, `pollengauge_service_load_ratio{service="desk"}`), qt.Not(qt.Equals), "")
