--- a/admission/queuewait_test.go
+++ b/admission/queuewait_test.go
@@ -56,7 +56,7 @@
 		time.Sleep(250*time.Millisecond + 1)
 		synctest.Wait()
 		c.Check(first.reason(), qt.Equals, call.ReasonQueueWait)
-		c.Check(last.ended, qt.IsFalse)
+		c.Check(g.Snapshot().Queued, qt.Equals, 1)
 		time.Sleep(250 * time.Millisecond)
 		synctest.Wait()
 		c.Check(last.reason(), qt.Equals, call.ReasonDeadline)
