--- a/cmd/pollengauge/soak/judge_test.go
+++ b/cmd/pollengauge/soak/judge_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -30,11 +31,39 @@
 	// timed enables the checks that depend on elapsed time. They need a machine
 	// that is not busy with other work.
 	timed bool
+	// limits are the limits of each VM and its customers; zero values stand for the usual ones.
+	limits vmLimits
 	// planned is true where all faults are planned work, which must not end any request
 	// without a response.
 	planned bool
 }
 
+// vmLimits are the limits of a VM's process, and those that the operator sets for what its
+// customers send. Sizes are in bytes.
+type vmLimits struct{ memory, descriptors, headerBytes, bodyBytes int }
+
+// usualDescriptors is the usual number of file descriptors of a process.
+const usualDescriptors = 4100
+
+// orUsual returns the limits with the usual ones in place of those that are not given.
+func (l vmLimits) orUsual() vmLimits {
+	l.memory = cmp.Or(l.memory, memoryLimit)
+	l.descriptors = cmp.Or(l.descriptors, usualDescriptors)
+	return l
+}
+
+// customers returns the limits of customers, as the operator writes them.
+func (l vmLimits) customers() map[string]any {
+	limits := map[string]any{"idle_timeout_s": 15}
+	if l.headerBytes > 0 {
+		limits["header_bytes"] = l.headerBytes
+	}
+	if l.bodyBytes > 0 {
+		limits["body_bytes"] = l.bodyBytes
+	}
+	return limits
+}
+
 // violation is one broken promise.
 type violation struct{ rule, detail string }
 
--- a/cmd/pollengauge/soak/operator_test.go
+++ b/cmd/pollengauge/soak/operator_test.go
@@ -68,7 +68,7 @@
 	defer o.mu.Unlock()
 	o.number++
 	next := version{number: o.number, sentAt: time.Now(), probe: services[o.number%2], added: o.added}
-	value, err := json.Marshal(configuration(next, o.fleet.terms.vms))
+	value, err := json.Marshal(configuration(next, o.fleet.terms))
 	if err != nil {
 		o.fleet.fail(err)
 		return
@@ -109,7 +109,7 @@
 // addedPrefix returns the path prefix of the added route number i.
 func addedPrefix(i int) string { return pathAdded + strconv.Itoa(i) + "/" }
 
-func configuration(v version, vms int) map[string]any {
+func configuration(v version, t terms) map[string]any {
 	route := func(name, prefix, kind, service string, priority int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service,
@@ -129,8 +129,8 @@
 		"version":  fmt.Sprintf("r%d", 3*v.number),
 		"routes":   routes,
 		"services": []any{map[string]any{"name": "web"}, map[string]any{"name": "filing"}, map[string]any{"name": "stock"}},
-		"limits":   map[string]any{"idle_timeout_s": 15},
-		"tenants":  tenantsConfiguration(vms),
+		"limits":   t.limits.customers(),
+		"tenants":  tenantsConfiguration(t.vms),
 	}
 }
 
@@ -138,7 +138,7 @@
 // the nodes, and the soak would check nothing about it.
 func TestGrownConfigurationFitsTheStore(t *testing.T) {
 	c := qt.New(t)
-	value, err := json.Marshal(configuration(version{number: 1000, probe: services[0], added: mostGrowths * growthRoutes}, len(services)))
+	value, err := json.Marshal(configuration(version{number: 1000, probe: services[0], added: mostGrowths * growthRoutes}, fleetTerms(false, len(services))))
 	c.Assert(err, qt.IsNil)
 	c.Check(objects.CheckValue(value), qt.IsNil)
 }
--- a/cmd/pollengauge/soak/vm_test.go
+++ b/cmd/pollengauge/soak/vm_test.go
@@ -20,6 +20,8 @@
 	portOutbound = "8304"
 	portControl  = "8306"
 	portGossip   = 7620
+	portAdmin    = "7621"
+	portMetrics  = "9464"
 	// Ports of the proxies, and the port of the upstream behind its proxy.
 	portStoreProxy    = "8400"
 	portUpstreamProxy = "8401"
@@ -109,11 +111,12 @@
 // writeSettings writes the settings file as the platform does, by an atomic rename. The
 // number look makes the content differ from the one before.
 func (v *vm) writeSettings(look int) error {
+	limits := v.fleet.terms.limits.orUsual()
 	data, err := json.Marshal(map[string]any{
 		"self": map[string]any{
 			"node": fmt.Sprintf("vm-%d", v.number), "ip": v.ip, "zone": v.zone, "region": "region-1",
 			"service": v.upstream.service, "app_address": v.at(portUpstreamProxy),
-			"limits": map[string]any{"memory_mb": memoryLimit >> 20, "file_descriptors": 4100}, "look": look,
+			"limits": map[string]any{"memory_mb": limits.memory >> 20, "file_descriptors": limits.descriptors}, "look": look,
 		},
 		"network": map[string]any{
 			"listen": map[string]any{
