--- a/cmd/pollengauge/internal/cli/settings.go
+++ b/cmd/pollengauge/internal/cli/settings.go
@@ -250,6 +250,7 @@
 	f.number(&s.EdgeConns, "edge-conns", "connections accepted at the edge")
 	f.number(&s.PeerInbound, "peer-inbound", "connections accepted from other nodes")
 	f.number(&s.MaxHeaderBytes, "max-header-bytes", "bytes of a request's header block")
+	f.number(&s.HeadMemory, "head-memory", "bytes of memory that requests with large header blocks take together; more wait")
 	f.number(&s.MaxReplayBytes, "max-replay-bytes", "bytes of a request body kept for a retry; longer bodies are tried once")
 	f.number(&s.MaxAnswerBytes, "max-answer-bytes", "bytes of one stored answer of a keyed call")
 	f.number(&s.KeyEntries, "key-entries", "idempotency keys remembered; a full table refuses new ones")
--- a/node/callerlimits.go
+++ b/node/callerlimits.go
@@ -20,7 +20,8 @@
 // limitCaller enforces the limits of the current configuration on a caller's request.
 func (n *Node) limitCaller(w http.ResponseWriter, r *http.Request) error {
 	limits := n.config.Current().Limits()
-	if limits.HeaderBytes > 0 {
+	// With a dialect, the limit is one of the head as sent, which the listener enforces.
+	if limits.HeaderBytes > 0 && !n.usesDialect() {
 		limit := n.headLimitOf(EdgeListener)
 		limit.bytes = limits.HeaderBytes
 		if err := limit.check(r); err != nil {
--- a/node/guard.go
+++ b/node/guard.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/headread"
 	"pollengauge.dev/node/inflight"
 	"pollengauge.dev/observe"
 )
@@ -35,9 +36,9 @@
 // headLimit bounds the head of one request. With fields 0, only bytes is checked.
 type headLimit struct{ bytes, fields int }
 
-// headLimitOf returns the node's own limit for a listener. Where a dialect is used,
-// operators limit the heads of callers, and by size alone: a head of many short
-// fields is as valid as one of a few long ones.
+// headLimitOf returns the node's own limit for a listener. Where a dialect is used, heads are
+// limited by size alone: a head of many short fields is as valid as one of a few long ones. Those
+// of callers are limited as they are sent, by the listener.
 func (n *Node) headLimitOf(listener Listener) headLimit {
 	limit := headLimit{bytes: n.settings.MaxHeaderBytes, fields: maxHeaderFields}
 	if listener == PeerListener {
@@ -81,7 +82,10 @@
 			conn.Serve(r)
 			defer conn.Done()
 		}
-		err := limit.check(r)
+		var err error
+		if !n.usesDialect() || !n.forCallers(listener) {
+			err = limit.check(r)
+		}
 		if err == nil && n.forCallers(listener) {
 			err = n.limitCaller(w, r)
 		}
@@ -118,12 +122,12 @@
 // connState returns the callback that follows the connections of a listener.
 func (n *Node) connState(listener Listener, limit int) func(net.Conn, http.ConnState) {
 	count := n.countConns(listener, limit)
-	if !n.forCallers(listener) {
-		return count
-	}
 	return func(conn net.Conn, state http.ConnState) {
+		headread.ConnState(conn, state)
 		count(conn, state)
-		n.watchIdle(conn, state)
+		if n.forCallers(listener) {
+			n.watchIdle(conn, state)
+		}
 	}
 }
 
--- a/node/link.go
+++ b/node/link.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/headread"
 	"pollengauge.dev/observe"
 	"pollengauge.dev/peerlink"
 )
@@ -102,8 +103,13 @@
 			return
 		}
 		first, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
+		first = append([]byte(nil), first...)
+		if guarded, ok := headread.Unwrap(conn); ok {
+			raw, held := guarded.Detach()
+			conn, first = raw, append(first, held...)
+		}
 		// Not in this goroutine: it refers to the buffers of net/http.
-		go n.serveLinkConn(conn, append([]byte(nil), first...))
+		go n.serveLinkConn(conn, first)
 	})
 }
 
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"pollengauge.dev/headread"
 	"pollengauge.dev/observe"
 )
 
@@ -92,8 +93,8 @@
 	keepAliveTimeout  = 2 * time.Minute
 )
 
-// serve runs one HTTP server. net/http answers a malformed or slow request head and
-// closes its connection, within the limits set here.
+// serve runs one HTTP server. Its listener refuses heads outside the limits, and net/http
+// answers a malformed head and closes its connection.
 func (n *Node) serve(name Listener, handler http.Handler, conns int) {
 	server := &http.Server{
 		Handler:           n.upgradeLinks(name, n.guard(name, handler)),
@@ -104,9 +105,8 @@
 		// that reads the body removes this limit at the body's end.
 		ReadTimeout: readHeaderTimeout + n.settings.BodyTimeout,
 		IdleTimeout: n.longestIdle(name),
-		// guard enforces the limit itself and answers with a reason; net/http only
-		// rejects heads that are far above it.
-		MaxHeaderBytes: n.settings.MaxHeaderBytes + 2*nodeHeaderBytes,
+		// The listener has already enforced the limits.
+		MaxHeaderBytes: n.settings.MaxHeaderBytes + guardedHeadBytes,
 		ErrorLog:       n.serverLog(name),
 		ConnState:      n.connState(name, conns),
 		ConnContext:    withServedConn,
@@ -117,7 +117,7 @@
 		return
 	}
 	limited := limitListener(n.listeners[name], conns, &n.lingering)
-	listener := net.Listener(limited)
+	listener := net.Listener(headread.NewListener(limited, conns, n.headConfig(name)))
 	if n.forCallers(name) {
 		listener = n.pipelined(listener)
 		n.callerListeners = append(n.callerListeners, limited.raw)
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"pollengauge.dev/atmostonce"
 	"pollengauge.dev/call"
 	"pollengauge.dev/config"
+	"pollengauge.dev/headread"
 	"pollengauge.dev/incarnation"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/node/inflight"
@@ -153,6 +154,8 @@
 	work routing.WorkMeter
 	// conns counts the open connections of each HTTP listener.
 	conns map[Listener]*atomic.Int64
+	// headBudget bounds the memory of large heads of requests.
+	headBudget *headread.Budget
 	// callerConns are the connections of callers.
 	callerConns idleConns
 	// callerListeners are the listeners for callers.
@@ -195,6 +198,7 @@
 		changes:           newLoggedState(),
 		conns:             newConnCounts(),
 		drainTimers:       make(map[drainCause]*time.Timer),
+		headBudget:        headread.NewBudget(int64(settings.HeadMemory)),
 	}
 	if n.usesDialect() {
 		n.reservedHeaders = reservedHeadersOf(settings.Dialect)
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -101,7 +101,7 @@
 // earlyRequest reads a request without a body. It returns nil if the request has to
 // wait for its turn.
 func (n *Node) earlyRequest(r *http.Request) *request {
-	if n.headLimitOf(EdgeListener).check(r) != nil || n.limitCaller(nil, r) != nil {
+	if !n.usesDialect() && n.headLimitOf(EdgeListener).check(r) != nil || n.limitCaller(nil, r) != nil {
 		return nil
 	}
 	var req *request
--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -77,6 +77,9 @@
 	return c
 }
 
+// NetConn returns the connection under c.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/node/reset.go
+++ b/node/reset.go
@@ -8,8 +8,6 @@
 	"os"
 	"sync/atomic"
 	"time"
-
-	"pollengauge.dev/node/pipelining"
 )
 
 // resetConn is a connection that can be closed so that its peer sees an error.
@@ -118,8 +116,8 @@
 	_ = c.Conn.Close()
 }
 
-// reset closes the connection without the normal end of stream; TCP sends a reset.
-func (c *resetConn) reset() {
+// Reset closes the connection without the normal end of stream; TCP sends a reset.
+func (c *resetConn) Reset() {
 	if l, ok := c.raw.(interface{ SetLinger(sec int) error }); ok {
 		_ = l.SetLinger(0)
 	}
@@ -141,16 +139,21 @@
 		return
 	}
 	if c, ok := resetConnOf(conn); ok {
-		c.reset()
+		c.Reset()
 	}
 	_ = conn.Close()
 }
 
 // resetConnOf returns the resetConn that conn is or wraps.
 func resetConnOf(conn net.Conn) (*resetConn, bool) {
-	if ahead, ok := conn.(*pipelining.Conn); ok {
-		conn = ahead.Conn
+	for {
+		switch c := conn.(type) {
+		case *resetConn:
+			return c, true
+		case interface{ NetConn() net.Conn }:
+			conn = c.NetConn()
+		default:
+			return nil, false
+		}
 	}
-	c, ok := conn.(*resetConn)
-	return c, ok
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -63,6 +63,11 @@
 
 	// MaxHeaderBytes bounds a request's header block.
 	MaxHeaderBytes int
+	// HeadMemory bounds the memory, in bytes, that requests with large header blocks take
+	// together: those of more than some 60 fields, or more than 8 KiB. Further ones wait, and
+	// are refused as not run after two seconds. The small ones are bounded by the numbers of
+	// connections.
+	HeadMemory int
 	// MaxReplayBytes bounds how much of a request body is buffered in memory for a
 	// retry. A longer body is streamed and sent only once.
 	MaxReplayBytes int
@@ -178,6 +183,7 @@
 		EdgeConns:      10_000,
 		PeerInbound:    10_000,
 		MaxHeaderBytes: 32 << 10,
+		HeadMemory:     16 << 20,
 		MaxReplayBytes: 64 << 10,
 		MaxAnswerBytes: 64 << 10,
 		KeyEntries:     100_000,
@@ -220,6 +226,7 @@
 	c.number("edge-conns", s.EdgeConns, 1, 1_000_000)
 	c.number("peer-inbound", s.PeerInbound, 1, 1_000_000)
 	c.number("max-header-bytes", s.MaxHeaderBytes, 4<<10, 1<<20)
+	c.number("head-memory", s.HeadMemory, 1<<20, 1<<30)
 	c.number("max-replay-bytes", s.MaxReplayBytes, 0, 16<<20)
 	c.number("max-answer-bytes", s.MaxAnswerBytes, 1<<10, 1<<20)
 	c.number("key-entries", s.KeyEntries, 16, 10_000_000)
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -65,7 +65,7 @@
 	PlatformTime  Histograms
 
 	RootsWithoutContext, ForgedHeaders, Panics, Begun metrics.Counter
-	Malformed, Unrouted                               Counters
+	Malformed, Unrouted, HeadsRefused                 Counters
 	// RequestsCut counts requests whose connection closed without a complete response, by
 	// cause.
 	RequestsCut Counters
@@ -192,6 +192,7 @@
 	m.RootsWithoutContext = m.counters(rootsMetric).With()
 	m.ForgedHeaders = m.counters(forgedMetric).With()
 	m.Malformed = m.counters(malformedMetric)
+	m.HeadsRefused = m.counters(headsRefusedMetric)
 	m.Unrouted = m.counters(unroutedMetric)
 	m.RequestsCut = m.counters(requestsCutMetric)
 	m.AbandonedRuns = m.counters(abandonedRunsMetric)
--- a/observe/metrics_catalogue.go
+++ b/observe/metrics_catalogue.go
@@ -103,6 +103,7 @@
 	rootsMetric           = defineMetric("pollengauge_roots_without_context_total", CounterKind, unitCount, "Calls out of the upstream that lacked the headers of the request it serves.")
 	forgedMetric          = defineMetric("pollengauge_forged_headers_total", CounterKind, unitCount, "Requests from outside that carried headers only nodes may set.")
 	malformedMetric       = defineMetric("pollengauge_malformed_total", CounterKind, unitCount, "Messages, headers and answers that could not be read, by source.", "source")
+	headsRefusedMetric    = defineMetric("pollengauge_heads_refused_total", CounterKind, unitCount, "Heads of requests that were refused before they were parsed, by reason: too-large, malformed, slow (not complete in time), no-memory (no room beside the large heads of other requests).", "reason")
 	unauthenticatedMetric = defineMetric("pollengauge_strangers_total", CounterKind, unitCount, "Requests without the key of a customer, by what their callers were told.", "reason")
 	quotasMetric          = defineMetric("pollengauge_quota_requests_total", CounterKind, unitCount, "Requests of customers with a limit: taken within it, refused beyond it, or unknown where nobody who counts could be asked.", "result")
 	unroutedMetric        = defineMetric("pollengauge_unrouted_total", CounterKind, unitCount, "Requests for which the configuration in force has no route, by what their callers were told.", "reason")
--- a/observe/metrics_test.go
+++ b/observe/metrics_test.go
@@ -95,6 +95,7 @@
 		counters.With(DirectionInbound).Inc(1)
 	}
 	m.Malformed.With("gossip").Inc(1)
+	m.HeadsRefused.With("too-large").Inc(1)
 	m.UpstreamReported.With("waiting").Update(2)
 	m.Unrouted.With("no-route").Inc(1)
 	m.RequestsCut.With("shutdown").Inc(1)
