--- a/node/errors.go
+++ b/node/errors.go
@@ -21,12 +21,6 @@
 // Error implements error.
 func (*SwitchedError) Error() string { return "upstream switched protocols, which no caller requested" }
 
-// StatusError reports that an answer had an invalid status code.
-type StatusError struct{ Status int }
-
-// Error implements error.
-func (e *StatusError) Error() string { return "invalid status code: " + strconv.Itoa(e.Status) }
-
 // WriteError reports that the receiver of an answer closed the connection.
 type WriteError struct{ Cause error }
 
--- a/node/transport.go
+++ b/node/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollengauge.dev/config"
+	"pollengauge.dev/respread"
 )
 
 const (
@@ -129,11 +130,9 @@
 	if err != nil {
 		return nil, exchange{}, s.provedUnsent(), err
 	}
-	if resp.StatusCode < http.StatusContinue {
-		// net/http reads such a code, but panics when it has to write it. The caller's
-		// connection would break without an outcome.
+	if err := respread.Check(resp); err != nil {
 		_ = resp.Body.Close()
-		return nil, exchange{}, false, &StatusError{Status: resp.StatusCode}
+		return nil, exchange{}, false, err
 	}
 	return resp, s.exchange, false, nil
 }
--- a/peerlink/frame.go
+++ b/peerlink/frame.go
@@ -421,7 +421,7 @@
 	if flags&flagTrailers != 0 {
 		r.Trailer = p.names()
 	}
-	const lowest, highest = 200, 999
+	const lowest, highest = 200, 599
 	if p.bad || r.Status < lowest || r.Status > highest {
 		return nil, nil, &FrameError{Frame: frameResponse.String(), Want: "a complete head with a final status"}
 	}
