--- a/node/conn.go
+++ b/node/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pollengauge.dev/livedial"
+	"pollengauge.dev/respread"
 )
 
 // Network is how a node listens and dials. Tests use an in-memory one; the default is
@@ -47,7 +48,7 @@
 // once by the retry. seal decides this in one atomic step: either no write has begun
 // and all later ones fail, or a write has begun and the fate is unknown.
 type sealConn struct {
-	net.Conn
+	*respread.Conn
 	state atomic.Int32
 	// requests counts the requests that have got the connection. identified is the number of
 	// the last one whose answer stated which request it belongs to.
@@ -60,6 +61,7 @@
 // transport calls it (through httptrace.GotConn) before it hands the request to its write loop.
 func (c *sealConn) arm() (number int64) {
 	c.state.Store(connUntouched)
+	c.Begin()
 	return c.requests.Add(1)
 }
 
--- a/node/transport.go
+++ b/node/transport.go
@@ -39,7 +39,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealConn{Conn: conn}, nil
+			return &sealConn{Conn: respread.NewConn(conn)}, nil
 		},
 		Protocols:              protocols,
 		DisableCompression:     true,
@@ -85,9 +85,16 @@
 func newSendState() *sendState {
 	s := &sendState{}
 	s.trace.GotConn = s.gotConn
+	s.trace.WroteRequest = s.wroteRequest
 	return s
 }
 
+func (s *sendState) wroteRequest(info httptrace.WroteRequestInfo) {
+	if s.conn != nil {
+		s.conn.Written(info.Err)
+	}
+}
+
 func (s *sendState) gotConn(info httptrace.GotConnInfo) {
 	s.gotConnection = true
 	conn, ok := unwrapSealConn(info.Conn)
--- a/node/unidentified_test.go
+++ b/node/unidentified_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"pollengauge.dev/call"
+	"pollengauge.dev/respread"
 )
 
 // pairedExchanges returns the first two exchanges of a connection and the connection's other
@@ -15,7 +16,7 @@
 func pairedExchanges(c *qt.C) (conn *sealConn, next func() exchange) {
 	own, other := net.Pipe()
 	c.Cleanup(func() { _ = other.Close() })
-	conn = &sealConn{Conn: own}
+	conn = &sealConn{Conn: respread.NewConn(own)}
 	return conn, func() exchange { return exchange{conn: conn, number: conn.arm()} }
 }
 
--- a/objects/exchange.go
+++ b/objects/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pollengauge.dev/livedial"
+	"pollengauge.dev/respread"
 )
 
 const (
@@ -27,7 +28,7 @@
 	dialer := livedial.Dialer(options.Timeout)
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: respread.Transport(&http.Transport{
 			Proxy:                  nil,
 			DialContext:            dialer.DialContext,
 			TLSHandshakeTimeout:    options.Timeout,
@@ -38,7 +39,7 @@
 			// A non-nil map restricts the client to HTTP/1.1. For HTTP/2,
 			// net/http has additional rules for replaying requests.
 			TLSNextProto: map[string]func(string, *tls.Conn) http.RoundTripper{},
-		},
+		}),
 	}
 }
 
