--- a/node/body.go
+++ b/node/body.go
@@ -33,23 +33,39 @@
 	used   bool
 }
 
+// firstBodyBytes is the size of the first buffer for a body, and bodyGrowth the factor by which it
+// grows. What a sender announces takes no memory before it arrives.
+const (
+	firstBodyBytes = 4 << 10
+	bodyGrowth     = 4
+)
+
 // readBody reads up to limit bytes of r into memory. The rest of r is streamed.
 func readBody(r io.Reader, length int64, limit int) (*replayBody, error) {
 	if r == nil || r == http.NoBody || length == 0 {
 		return &replayBody{}, nil
 	}
-	var buf bytes.Buffer
-	if length > 0 && length <= int64(limit) {
-		buf.Grow(int(length))
-	}
-	_, err := io.CopyN(&buf, r, int64(limit)+1)
-	if errors.Is(err, io.EOF) {
-		return &replayBody{head: buf.Bytes()}, nil
+	// One byte more shows whether there is a rest, or the end.
+	most := limit + 1
+	size := min(firstBodyBytes, most)
+	if length > 0 && length < int64(size) {
+		size = int(length) + 1
 	}
-	if err != nil {
-		return nil, err
+	head := make([]byte, 0, size)
+	for len(head) < most {
+		if len(head) == cap(head) {
+			head = append(make([]byte, 0, min(bodyGrowth*cap(head), most)), head...)
+		}
+		count, err := r.Read(head[len(head):cap(head)])
+		head = head[:len(head)+count]
+		if isEOF(err) {
+			return &replayBody{head: head}, nil
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	return &replayBody{head: buf.Bytes(), rest: r}, nil
+	return &replayBody{head: head, rest: r}, nil
 }
 
 // rewind takes the body from the previous attempt, and reports whether it can be sent
