--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"pollengauge.dev/incarnation"
 	"pollengauge.dev/membership"
 	"pollengauge.dev/node/inflight"
+	"pollengauge.dev/node/pipelining"
 	"pollengauge.dev/objects"
 	"pollengauge.dev/observe"
 	"pollengauge.dev/peerlink"
@@ -156,6 +157,8 @@
 	conns map[Listener]*atomic.Int64
 	// headBudget bounds the memory of large heads of requests.
 	headBudget *headread.Budget
+	// readAhead bounds the memory of requests that were read before their turn.
+	readAhead *pipelining.ReadAhead
 	// callerConns are the connections of callers.
 	callerConns idleConns
 	// callerListeners are the listeners for callers.
@@ -199,6 +202,7 @@
 		conns:             newConnCounts(),
 		drainTimers:       make(map[drainCause]*time.Timer),
 		headBudget:        headread.NewBudget(int64(settings.HeadMemory)),
+		readAhead:         pipelining.NewReadAhead(int64(settings.HeadMemory) / readAheadDivisor),
 	}
 	if n.usesDialect() {
 		n.reservedHeaders = reservedHeadersOf(settings.Dialect)
--- a/node/pipelined.go
+++ b/node/pipelined.go
@@ -19,10 +19,16 @@
 // comes from until the request's turn.
 const maxEarlyRuns = 256
 
+// readAheadDivisor gives the part of Settings.HeadMemory that requests may take which were read
+// before their turn.
+const readAheadDivisor = 4
+
 // pipelined returns a listener whose connections read ahead and start pipelined
 // requests before their turn.
 func (n *Node) pipelined(l net.Listener) net.Listener {
-	return &pipelinedListener{Listener: l, handlers: pipelining.Handlers{Begin: n.startEarly, Abandoned: n.cutUnserved}}
+	return &pipelinedListener{Listener: l, handlers: pipelining.Handlers{
+		Begin: n.startEarly, Abandoned: n.cutUnserved, ReadAhead: n.readAhead,
+	}}
 }
 
 type pipelinedListener struct {
--- a/node/pipelining/conn.go
+++ b/node/pipelining/conn.go
@@ -42,6 +42,8 @@
 	pumping bool
 	unread  []byte
 	readErr error
+	// counted is the part of unread that handlers.ReadAhead counts.
+	counted int64
 	// waitingSince is when the oldest bytes behind the request being served arrived.
 	waitingSince time.Time
 	// closing is set once a response has announced that it closes the connection.
@@ -68,6 +70,8 @@
 	// announced the close. received is the time since when the connection holds the
 	// request, or one before it.
 	Abandoned func(r *http.Request, received time.Time)
+	// ReadAhead bounds what the connections hold, nil for no bound.
+	ReadAhead *ReadAhead
 }
 
 // New returns a Conn that wraps conn.
@@ -152,6 +156,7 @@
 	c.mu.Lock()
 	c.reportAbandoned()
 	c.closed = true
+	c.countUnread()
 	c.dropEarly()
 	if c.timer != nil {
 		c.timer.Stop()
--- a/node/pipelining/conn_test.go
+++ b/node/pipelining/conn_test.go
@@ -189,3 +189,29 @@
 		c.Check(string(p), qt.Equals, "E")
 	})
 }
+
+// Guards against the memory of requests that wait on many connections, and against requests that
+// are lost or stop once a connection may hold no more.
+func TestConnectionsShareTheReadAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		caller, socket := net.Pipe()
+		shared := NewReadAhead(0)
+		conn := New(socket, Handlers{ReadAhead: shared, Begin: func(context.Context, *http.Request) Answer { return nil }})
+		const count = 2000
+		go func() { _, _ = io.WriteString(caller, strings.Repeat(search, count)) }()
+		read := bufio.NewReader(conn)
+		for range count {
+			r, err := http.ReadRequest(read)
+			c.Assert(err, qt.IsNil)
+			conn.Serve(r)
+			synctest.Wait()
+			c.Assert(shared.held.Load() <= 2*readSize, qt.IsTrue, qt.Commentf("%d bytes", shared.held.Load()))
+			conn.Done()
+		}
+		_ = conn.Close()
+		_ = caller.Close()
+		synctest.Wait()
+		c.Check(shared.held.Load(), qt.Equals, int64(0))
+	})
+}
--- a/node/pipelining/read.go
+++ b/node/pipelining/read.go
@@ -3,13 +3,15 @@
 import (
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
 // Limits of the reading goroutine.
 const (
 	// maxUnread is the maximum number of received bytes that wait for net/http. At
-	// this limit the goroutine stops reading.
+	// this limit the goroutine stops reading, and from readSize on if the connections
+	// that share a ReadAhead hold as much as they may.
 	maxUnread = 32 << 10
 	// readSize is the size of one read, in bytes. It equals net/http's buffer.
 	readSize = 4 << 10
@@ -50,7 +52,7 @@
 // caller disconnects. If Read returned the first byte of the next request, net/http
 // would stop watching the connection.
 func (c *Conn) withhold(p []byte, err error) {
-	c.unread = append(c.unread, p...)
+	c.addUnread(p)
 	if err != nil && !isTimeout(err) {
 		c.readErr = err
 	}
@@ -95,7 +97,7 @@
 func (c *Conn) received(p []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unread = append(c.unread, p...)
+	c.addUnread(p)
 	c.split.add(p)
 	c.lookAhead()
 	c.noteWaiting()
@@ -104,7 +106,7 @@
 		c.dropEarly()
 	}
 	c.changed.Broadcast()
-	for len(c.unread) >= maxUnread && !c.closed {
+	for c.holdsEnough() && !c.closed {
 		c.changed.Wait()
 	}
 	return err == nil && !c.closed
@@ -135,6 +137,10 @@
 func (c *Conn) deliver(p []byte) int {
 	count := copy(p, c.unread)
 	c.unread = append(c.unread[:0], c.unread[count:]...)
+	if len(c.unread) == 0 {
+		c.unread = nil
+	}
+	c.countUnread()
 	c.delivered += int64(count)
 	c.changed.Broadcast()
 	return count
@@ -143,3 +149,38 @@
 // withheld reports whether the next received bytes belong to requests queued behind
 // the one being served. The caller holds c.mu.
 func (c *Conn) withheld() bool { return c.serving && c.requestEnd >= 0 && c.delivered >= c.requestEnd }
+
+// addUnread appends received bytes that wait for net/http. The caller holds c.mu.
+func (c *Conn) addUnread(p []byte) {
+	c.unread = append(c.unread, p...)
+	c.countUnread()
+}
+
+// countUnread updates what the connection holds of the shared ReadAhead. The caller holds c.mu.
+func (c *Conn) countUnread() {
+	held := int64(len(c.unread))
+	if c.closed {
+		held = 0
+	}
+	if c.handlers.ReadAhead != nil {
+		c.handlers.ReadAhead.held.Add(held - c.counted)
+	}
+	c.counted = held
+}
+
+// holdsEnough reports whether no more may be read before net/http has read. The caller holds c.mu.
+func (c *Conn) holdsEnough() bool {
+	return len(c.unread) >= maxUnread || len(c.unread) >= readSize && c.handlers.ReadAhead.exhausted()
+}
+
+// ReadAhead bounds the received bytes that wait for net/http on all connections that share it,
+// beside those of one read on each connection.
+type ReadAhead struct {
+	max  int64
+	held atomic.Int64
+}
+
+// NewReadAhead returns a ReadAhead of limit bytes.
+func NewReadAhead(limit int64) *ReadAhead { return &ReadAhead{max: limit} }
+
+func (r *ReadAhead) exhausted() bool { return r != nil && r.held.Load() >= r.max }
