--- a/headread/conn.go
+++ b/headread/conn.go
@@ -163,9 +163,9 @@
 	c.unadmitted = false
 	for passable < len(b) {
 		if c.body.open() {
-			passable += c.body.skip(b[passable:])
-			if c.body.malformed {
-				c.refusal = &MalformedError{What: "a trailer whose line ends without a carriage return"}
+			skipped, refusal := c.body.skip(b[passable:])
+			passable += skipped
+			if c.refusal = refusal; refusal != nil {
 				return passable, nil
 			}
 			continue
--- a/headread/errors.go
+++ b/headread/errors.go
@@ -31,11 +31,11 @@
 // Reason implements Refusal.
 func (*TooLargeError) Reason() string { return "too-large" }
 
-// MalformedError reports bytes that can't be the head of a request.
+// MalformedError reports bytes that can't be a request.
 type MalformedError struct{ What string }
 
 // Error implements error.
-func (e *MalformedError) Error() string { return "the head of a request is malformed: " + e.What }
+func (e *MalformedError) Error() string { return "a request is malformed: " + e.What }
 
 // Status implements Refusal.
 func (*MalformedError) Status() int { return http.StatusBadRequest }
--- a/node/pipelining/splitter.go
+++ b/node/pipelining/splitter.go
@@ -3,11 +3,11 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
+
+	"pollengauge.dev/headread"
 )
 
 // maxPending is the maximum number of bytes of a connection that are inspected ahead:
@@ -21,8 +21,7 @@
 // boundary in the wrong place would make part of a body look like a request, which
 // would run although no caller sent it.
 type splitter struct {
-	// pending holds the received bytes from the first unaccounted request on. While
-	// chunked is set, that is the request being served.
+	// pending holds the received bytes from the first unaccounted request on.
 	pending []byte
 	// base is the stream offset at which pending starts.
 	base int64
@@ -32,6 +31,7 @@
 	// chunked is set while the request being served has a chunked body whose end has
 	// not been found.
 	chunked bool
+	chunks  headread.ChunkScanner
 	gaveUp  bool
 }
 
@@ -50,6 +50,8 @@
 		return
 	}
 	s.pending = append(s.pending, p...)
+	// The part of a chunked body that has been received is not kept.
+	s.finishChunked()
 }
 
 // giveUp stops the search for boundaries for the rest of the connection.
@@ -74,6 +76,7 @@
 		return -1
 	}
 	if r.ContentLength < 0 {
+		s.consume(int64(head))
 		s.chunked = true
 		if !s.finishChunked() {
 			return -1
@@ -112,22 +115,14 @@
 	if !s.chunked {
 		return true
 	}
-	source := bytes.NewReader(s.pending)
-	buffered := bufio.NewReader(source)
-	r, err := http.ReadRequest(buffered)
-	if err == nil {
-		_, err = io.Copy(io.Discard, r.Body)
-	}
-	switch {
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
-		return false // the rest has not been received
-	case err != nil:
+	length, ended, refusal := s.chunks.Skip(s.pending)
+	if refusal != nil {
 		s.giveUp()
 		return false
 	}
-	s.chunked = false
-	s.consume(int64(len(s.pending) - source.Len() - buffered.Buffered()))
-	return true
+	s.consume(int64(length))
+	s.chunked = !ended
+	return ended
 }
 
 // next returns the request at the start of pending, and its length, if it may start
