--- a/cmd/pollengauge/soak/crowd_test.go
+++ b/cmd/pollengauge/soak/crowd_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -18,13 +19,17 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Limits of the VMs that a crowd attacks, and its size.
+// The size of a crowd, and limits of the VMs that it attacks, for larger crowds by hand.
+var (
+	crowdSize        = flag.Int("crowd", 200, "clients of a crowd")
+	crowdMemory      = flag.Int("crowd-memory", 128, "memory of each VM that a crowd attacks, in MiB")
+	crowdDescriptors = flag.Int("crowd-descriptors", 1000, "descriptors of each VM that a crowd attacks")
+)
+
+// Limits of what the clients may send, and bounds of a crowd.
 const (
-	crowdMemory      = 128 << 20
-	crowdDescriptors = 1000
 	crowdHeaderBytes = 16 << 10
 	crowdBodyBytes   = 1 << 20
-	crowdSize        = 200
 	crowdTime        = 4 * time.Second
 	// crowdLogBytes bounds what a VM's process logs meanwhile.
 	crowdLogBytes = 4 << 20
@@ -33,7 +38,7 @@
 // crowdTerms returns the terms of a fleet of VMs with little memory.
 func crowdTerms() terms {
 	t := fleetTerms(false, len(services))
-	t.limits = vmLimits{memory: crowdMemory, descriptors: crowdDescriptors, headerBytes: crowdHeaderBytes, bodyBytes: crowdBodyBytes}
+	t.limits = vmLimits{memory: *crowdMemory << 20, descriptors: *crowdDescriptors, headerBytes: crowdHeaderBytes, bodyBytes: crowdBodyBytes}
 	return t
 }
 
@@ -46,6 +51,8 @@
 	// port is the port of the VM that the clients connect to.
 	port string
 	size int
+	// everywhere is set for clients that attack all VMs but the last one.
+	everywhere bool
 	// stays is set for clients that are still there when the ordinary request is sent.
 	stays bool
 }
@@ -63,21 +70,29 @@
 	defer end()
 	watch := f.watchCrowd(ctx)
 	var clients sync.WaitGroup
-	for range of.size {
-		clients.Go(func() { attack(ctx, v.at(of.port), of.behaviour) })
+	attacked := f.vms[:1]
+	if of.everywhere {
+		attacked = f.vms[:len(f.vms)-1]
+	}
+	for _, v := range attacked {
+		for range of.size {
+			clients.Go(func() { attack(ctx, v.at(of.port), of.behaviour) })
+		}
 	}
 	pause(ctx, crowdTime)
 	if !of.stays {
 		end()
 		clients.Wait()
 	}
-	c.Check(f.askOrdinarily(t.Context(), v), qt.IsNil, qt.Commentf("an ordinary request"))
+	if !c.Check(f.askOrdinarily(t.Context(), v), qt.IsNil, qt.Commentf("an ordinary request")) {
+		f.logOrdinary(c)
+	}
 	end()
 	clients.Wait()
 	for i, most := range watch() {
 		c.Logf("VM %d: %d MiB, %d descriptors, log of %d KiB", i, most.memory>>20, most.descriptors, most.log>>10)
-		c.Check(most.memory <= crowdMemory, qt.IsTrue, qt.Commentf("VM %d: %d MiB", i, most.memory>>20))
-		c.Check(most.descriptors <= crowdDescriptors, qt.IsTrue, qt.Commentf("VM %d: %d descriptors", i, most.descriptors))
+		c.Check(most.memory <= int64(*crowdMemory)<<20, qt.IsTrue, qt.Commentf("VM %d: %d MiB", i, most.memory>>20))
+		c.Check(most.descriptors <= int64(*crowdDescriptors), qt.IsTrue, qt.Commentf("VM %d: %d descriptors", i, most.descriptors))
 		c.Check(most.log <= crowdLogBytes, qt.IsTrue, qt.Commentf("VM %d: log of %d KiB", i, most.log>>10))
 	}
 	c.Check(f.record.exits, qt.HasLen, 0)
@@ -96,6 +111,19 @@
 	})
 }
 
+// logOrdinary logs how often the ordinary requests ended in each way.
+func (f *fleet) logOrdinary(c *qt.C) {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	ends := make(map[string]int)
+	for _, a := range f.record.answers {
+		if !strings.Contains(a.id, ".") {
+			ends[fmt.Sprintf("%d %s after %d00 ms", a.status, a.failure, a.took/(100*time.Millisecond))]++
+		}
+	}
+	c.Logf("%v", ends)
+}
+
 // attack runs one client of a crowd until ctx ends.
 func attack(ctx context.Context, addr string, behave behaviour) {
 	for ctx.Err() == nil {
@@ -245,67 +273,67 @@
 
 // Guards against a process that runs out of memory by heads without end.
 func TestCrowdSendsEndlessHeads(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse), shortField), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse), shortField), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against heads without end at the address for calls of other nodes.
 func TestCrowdSendsEndlessHeadsToInbound(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse), shortField), port: portInbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse), shortField), port: portInbound, size: *crowdSize})
 }
 
 // Guards against heads without end at the address for questions of readiness.
 func TestCrowdSendsEndlessHeadsToReady(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/-/ready"), shortField), port: portReady, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/-/ready"), shortField), port: portReady, size: *crowdSize})
 }
 
 // Guards against heads without end at the address for heartbeats.
 func TestCrowdSendsEndlessHeadsToControl(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("POST", "/-/Instances.Heartbeat/i"), shortField), port: portControl, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("POST", "/-/Instances.Heartbeat/i"), shortField), port: portControl, size: *crowdSize})
 }
 
 // Guards against heads without end at the port of the metrics.
 func TestCrowdSendsEndlessHeadsToMetrics(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/metrics"), shortField), port: portMetrics, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/metrics"), shortField), port: portMetrics, size: *crowdSize})
 }
 
 // Guards against heads without end at the port for operators.
 func TestCrowdSendsEndlessHeadsToAdmin(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/v1/status"), shortField), port: portAdmin, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/v1/status"), shortField), port: portAdmin, size: *crowdSize})
 }
 
 // Guards against heads without end at the port for membership.
 func TestCrowdSendsEndlessHeadsToGossip(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/"), shortField), port: strconv.Itoa(portGossip), size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/"), shortField), port: strconv.Itoa(portGossip), size: *crowdSize})
 }
 
 // Guards against a field line without end that is kept in memory.
 func TestCrowdSendsEndlessFieldLines(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse)+"X: ", func(int) string { return "xxxxxxxx" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse)+"X: ", func(int) string { return "xxxxxxxx" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against a request line without end that is kept in memory.
 func TestCrowdSendsEndlessRequestLines(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless("GET /", func(int) string { return "xxxxxxxx" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless("GET /", func(int) string { return "xxxxxxxx" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against empty lines without end in place of a request, and a log line for each refusal.
 func TestCrowdSendsEndlessEmptyLines(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless("", func(int) string { return "\r\n" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless("", func(int) string { return "\r\n" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against empty lines without end behind a request.
 func TestCrowdSendsEndlessEmptyLinesBehindARequest(t *testing.T) {
-	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse)+"\r\n", func(int) string { return "\r\n" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse)+"\r\n", func(int) string { return "\r\n" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against a process that runs out of memory by heads of legal size with very many fields.
 func TestCrowdSendsHeadsOfManyFields(t *testing.T) {
-	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", shortField) + "\r\n" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", shortField) + "\r\n" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against the memory of heads of legal size that repeat a field very often.
 func TestCrowdSendsHeadsOfOneRepeatedField(t *testing.T) {
-	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", repeatedField) + "\r\n" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", repeatedField) + "\r\n" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against the memory of unrepeatable requests of legal size with very many fields, which
@@ -314,30 +342,37 @@
 	text := func() string {
 		return strings.Replace(fullHead("POST", shortField), pathBrowse, pathFile, 1) + "Content-Length: 0\r\n\r\n"
 	}
-	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: *crowdSize})
+}
+
+// Guards against a process that runs out of memory by what others forward: heads of legal size with
+// very many fields.
+func TestCrowdSendsHeadsOfManyFieldsToManyVMs(t *testing.T) {
+	text := func() string { return strings.Replace(fullHead("GET", shortField), pathBrowse, pathLook, 1) + "\r\n" }
+	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: *crowdSize, everywhere: true})
 }
 
 // Guards against the memory of heads of legal size whose last line never comes.
 func TestCrowdNeverEndsItsHeads(t *testing.T) {
-	playCrowd(t, crowd{behaviour: silent(func() string { return fullHead("GET", shortField) }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: silent(func() string { return fullHead("GET", shortField) }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against the memory of requests of legal size whose body never comes.
 func TestCrowdNeverSendsItsBodies(t *testing.T) {
 	text := func() string { return fullHead("POST", shortField) + "Transfer-Encoding: chunked\r\n\r\n" }
-	playCrowd(t, crowd{behaviour: silent(text), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: silent(text), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against trailers without end.
 func TestCrowdSendsEndlessTrailers(t *testing.T) {
 	first := openHead("POST", pathFile) + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
-	playCrowd(t, crowd{behaviour: endless(first, shortField), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(first, shortField), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against a chunk extension without end.
 func TestCrowdSendsEndlessChunkExtensions(t *testing.T) {
 	first := openHead("POST", pathFile) + "Transfer-Encoding: chunked\r\n\r\n1;"
-	playCrowd(t, crowd{behaviour: endless(first, func(int) string { return "xxxxxxxx" }), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: endless(first, func(int) string { return "xxxxxxxx" }), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against the cost of bodies in chunks of one byte.
@@ -345,7 +380,7 @@
 	text := func() string {
 		return openHead("POST", pathFile) + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\na\r\n", 4<<10) + "0\r\n\r\n"
 	}
-	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against the memory of many bodies of legal size at once.
@@ -353,7 +388,7 @@
 	text := func() string {
 		return openHead("POST", pathFile) + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes) + uploadBytes[:crowdBodyBytes]
 	}
-	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: *crowdSize})
 }
 
 // Guards against the memory of responses to clients that read nothing.
@@ -361,13 +396,13 @@
 	unread := func(ctx context.Context, conn net.Conn) error {
 		return sendAll(ctx, conn, func() string { return openHead("GET", pathBrowse+longAnswerPart) + "\r\n" })
 	}
-	playCrowd(t, crowd{behaviour: unread, port: portOutbound, size: crowdSize})
+	playCrowd(t, crowd{behaviour: unread, port: portOutbound, size: *crowdSize})
 }
 
 // Guards against ordinary clients that are shut out by connections on which nothing is sent, more
 // than the process may have.
 func TestCrowdStaysSilent(t *testing.T) {
-	playCrowd(t, crowd{behaviour: silent(func() string { return "" }), port: portOutbound, size: 2 * crowdSize, stays: true})
+	playCrowd(t, crowd{behaviour: silent(func() string { return "" }), port: portOutbound, size: 2 * *crowdSize, stays: true})
 }
 
 // Guards against ordinary clients that are shut out by connections that each send a head a byte at
@@ -383,13 +418,13 @@
 		}
 		return nil
 	}
-	playCrowd(t, crowd{behaviour: slowly, port: portOutbound, size: 2 * crowdSize, stays: true})
+	playCrowd(t, crowd{behaviour: slowly, port: portOutbound, size: 2 * *crowdSize, stays: true})
 }
 
 // Guards against ordinary clients that are shut out by requests of legal size that are sent as fast
 // as the process answers.
 func TestCrowdLeavesRoomForOrdinaryClients(t *testing.T) {
-	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", shortField) + "\r\n" }), port: portOutbound, size: crowdSize, stays: true})
+	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", shortField) + "\r\n" }), port: portOutbound, size: *crowdSize, stays: true})
 }
 
 // Guards against the refusal of a request inside the limits: its head is counted as it was sent.
