--- a/config/diff.go
+++ b/config/diff.go
@@ -157,6 +157,7 @@
 		{"retryRatio", formatFloat(l.RetryRatio)},
 		{"headerBytes", strconv.Itoa(l.HeaderBytes)},
 		{"bodyBytes", strconv.Itoa(l.BodyBytes)},
+		{"headerTimeout", l.HeaderTimeout.String()},
 		{"idleTimeout", l.IdleTimeout.String()},
 	}}}
 }
--- a/config/parse.go
+++ b/config/parse.go
@@ -79,10 +79,11 @@
 
 func readLimits(n *yaml.Node, path string, l *Limits) error {
 	_, err := readObject(n, path, fieldReaders{
-		"retryRatio":  func(n *yaml.Node, path string) error { return readFloat(n, path, &l.RetryRatio) },
-		"headerBytes": func(n *yaml.Node, path string) error { return readInt(n, path, &l.HeaderBytes) },
-		"bodyBytes":   func(n *yaml.Node, path string) error { return readInt(n, path, &l.BodyBytes) },
-		"idleTimeout": func(n *yaml.Node, path string) error { return readText(n, path, &l.IdleTimeout) },
+		"retryRatio":    func(n *yaml.Node, path string) error { return readFloat(n, path, &l.RetryRatio) },
+		"headerBytes":   func(n *yaml.Node, path string) error { return readInt(n, path, &l.HeaderBytes) },
+		"bodyBytes":     func(n *yaml.Node, path string) error { return readInt(n, path, &l.BodyBytes) },
+		"headerTimeout": func(n *yaml.Node, path string) error { return readText(n, path, &l.HeaderTimeout) },
+		"idleTimeout":   func(n *yaml.Node, path string) error { return readText(n, path, &l.IdleTimeout) },
 	})
 	return err
 }
--- a/config/set.go
+++ b/config/set.go
@@ -143,6 +143,11 @@
 	HeaderBytes int `json:"headerBytes,omitempty" yaml:"headerBytes,omitempty"`
 	BodyBytes   int `json:"bodyBytes,omitempty" yaml:"bodyBytes,omitempty"`
 
+	// HeaderTimeout is how long the header block of a caller's request may take from its
+	// first byte to its last, 0 for the node's own setting. A shorter time frees the
+	// memory of blocks that never end, and rejects more slow callers.
+	HeaderTimeout Duration `json:"headerTimeout,omitempty" yaml:"headerTimeout,omitempty"`
+
 	// IdleTimeout is how long an idle connection of a caller is kept open, 0 for
 	// the node's own setting. A longer timeout saves callers new connections but
 	// holds more file descriptors.
--- a/config/validate.go
+++ b/config/validate.go
@@ -40,6 +40,9 @@
 	// MaxBodyBytes limits Limits.BodyBytes. A higher limit is not needed: nodes stream
 	// bodies instead of buffering them, so bodies may be unlimited.
 	MaxBodyBytes = 1 << 30
+	// MinHeaderTimeout and MaxHeaderTimeout limit Limits.HeaderTimeout.
+	MinHeaderTimeout = Duration(time.Second)
+	MaxHeaderTimeout = Duration(time.Minute)
 	// MinIdleTimeout and MaxIdleTimeout limit Limits.IdleTimeout.
 	MinIdleTimeout = Duration(100 * time.Millisecond)
 	MaxIdleTimeout = Duration(10 * time.Minute)
@@ -96,6 +99,7 @@
 	v.check(inRange(l.RetryRatio, 0, MaxRetryRatio), "limits.retryRatio", formatFloat(l.RetryRatio), "a number from 0 to 0.5")
 	v.check(l.HeaderBytes == 0 || (l.HeaderBytes >= MinHeaderBytes && l.HeaderBytes <= MaxHeaderBytes), "limits.headerBytes", strconv.Itoa(l.HeaderBytes), "0, or 1024 to 1048576")
 	v.check(l.BodyBytes >= 0 && l.BodyBytes <= MaxBodyBytes, "limits.bodyBytes", strconv.Itoa(l.BodyBytes), "0 to 1073741824")
+	v.check(l.HeaderTimeout == 0 || (l.HeaderTimeout >= MinHeaderTimeout && l.HeaderTimeout <= MaxHeaderTimeout), "limits.headerTimeout", l.HeaderTimeout.String(), "0s, or 1s to 1m")
 	v.check(l.IdleTimeout == 0 || (l.IdleTimeout >= MinIdleTimeout && l.IdleTimeout <= MaxIdleTimeout), "limits.idleTimeout", l.IdleTimeout.String(), "0s, or 100ms to 10m")
 }
 
--- a/headread/conn.go
+++ b/headread/conn.go
@@ -62,7 +62,7 @@
 	// ended.
 	costs []int64
 	// deadline is the one that net/http has set. headBy is the time by which the head that
-	// has begun has to be complete, zero if none has, and looked is set during lastLook.
+	// has begun has to be complete, zero if none has, and looked is set during LastLook.
 	deadline, headBy time.Time
 	looked           bool
 	// stopWait ends the wait for room in the budget, nil if there is none.
@@ -304,9 +304,9 @@
 	c.reserved = 0
 }
 
-// lastLook is how long a head that is late is still read: its last bytes may have arrived while
+// LastLook is how long a head that is late is still read: its last bytes may have arrived while
 // the process had no processor time.
-const lastLook = 50 * time.Millisecond
+const LastLook = 50 * time.Millisecond
 
 // ended returns the error of a read within a head with which Read ends. After the time for the
 // head it sets the refusal, and returns no error.
@@ -324,7 +324,7 @@
 		return nil
 	}
 	c.looked = true
-	return c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+	return c.Conn.SetReadDeadline(time.Now().Add(LastLook))
 }
 
 // past reports whether a deadline has passed. The zero time is no deadline.
--- a/node/callerlimits_test.go
+++ b/node/callerlimits_test.go
@@ -109,3 +109,29 @@
 		time.Sleep(time.Second) // net/http waits before it closes
 	})
 }
+
+// Guards against a head that is given up before, or kept after, the time that operators give it.
+func TestSlowHeadsFollowTheConfiguration(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		n := f.addRouted("a", "desk", 10, echo)
+		f.settle()
+		for version, limit := range []time.Duration{3 * time.Second, 30 * time.Second} {
+			f.offerLimits(n, uint64(version)+2, config.Limits{RetryRatio: config.DefaultRetryRatio, HeaderTimeout: config.Duration(limit)})
+			for _, one := range []struct {
+				pause  time.Duration
+				status int
+			}{{limit - 100*time.Millisecond, http.StatusOK}, {limit + 100*time.Millisecond, http.StatusRequestTimeout}} {
+				conn := f.dialFromOutside(n, OutboundListener)
+				_, err := io.WriteString(conn, "GET /browse/x HTTP/1.1\r\nHost: desk.example\r\n")
+				f.c.Assert(err, qt.IsNil)
+				time.Sleep(one.pause)
+				_, _ = io.WriteString(conn, "X-Id: r1\r\n\r\n")
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				f.c.Assert(err, qt.IsNil, qt.Commentf("%s", one.pause))
+				f.c.Check(resp.StatusCode, qt.Equals, one.status, qt.Commentf("%s", one.pause))
+				f.c.Check(conn.Close(), qt.IsNil)
+			}
+		}
+		time.Sleep(time.Second) // net/http waits before it closes
+	})
+}
--- a/node/heads.go
+++ b/node/heads.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net"
+	"time"
 
+	"pollengauge.dev/config"
 	"pollengauge.dev/headread"
 	"pollengauge.dev/observe"
 )
@@ -34,8 +36,12 @@
 
 // headLimits returns the limits in force for heads on a listener.
 func (n *Node) headLimits(listener Listener) headread.Limits {
-	own := headread.Limits{Bytes: n.settings.MaxHeaderBytes + guardedHeadBytes, Timeout: readHeaderTimeout}
-	stated := n.config.Current().Limits().HeaderBytes
+	own := headread.Limits{Bytes: n.settings.MaxHeaderBytes + guardedHeadBytes, Timeout: readHeaderTimeout - headread.LastLook}
+	inForce := n.config.Current().Limits()
+	stated := inForce.HeaderBytes
+	if inForce.HeaderTimeout > 0 && n.forCallers(listener) {
+		own.Timeout = time.Duration(inForce.HeaderTimeout)
+	}
 	switch {
 	case listener == AdminListener:
 		own.Bytes = min(own.Bytes, toolHeadBytes)
@@ -51,6 +57,14 @@
 	return own
 }
 
+// longestHead returns the time after which net/http itself gives a head up on l.
+func (n *Node) longestHead(l Listener) time.Duration {
+	if n.forCallers(l) {
+		return time.Duration(config.MaxHeaderTimeout)
+	}
+	return readHeaderTimeout
+}
+
 // noteRefusedHead logs and counts a head that was refused before it was parsed.
 func (n *Node) noteRefusedHead(listener Listener, r headread.Refusal) {
 	event := observe.HeadRefused
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -98,12 +98,12 @@
 func (n *Node) serve(name Listener, handler http.Handler, conns int) {
 	server := &http.Server{
 		Handler:           n.upgradeLinks(name, n.guard(name, handler)),
-		ReadHeaderTimeout: readHeaderTimeout,
+		ReadHeaderTimeout: n.longestHead(name),
 		// A sender may announce a body and stall. If no handler reads the body,
 		// net/http itself waits for the rest, and would keep the connection open for
 		// ever; 64 such connections kept operators from using the admin API. A handler
 		// that reads the body removes this limit at the body's end.
-		ReadTimeout: readHeaderTimeout + n.settings.BodyTimeout,
+		ReadTimeout: n.longestHead(name) + n.settings.BodyTimeout,
 		IdleTimeout: n.longestIdle(name),
 		// The listener has already enforced the limits.
 		MaxHeaderBytes: n.settings.MaxHeaderBytes + guardedHeadBytes,
