--- a/headread/conn.go
+++ b/headread/conn.go
@@ -72,8 +72,7 @@
 	since  time.Time
 	served bool
 
-	// The functions of its listener, nil without one.
-	onIdle  func()
+	// onClose is called when the connection closes, if it is set.
 	onClose func(*Conn)
 }
 
@@ -511,9 +510,6 @@
 		c.stopTimer()
 	default:
 		c.end()
-		if c.onIdle != nil {
-			c.onIdle()
-		}
 	}
 }
 
--- a/headread/conn_test.go
+++ b/headread/conn_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/net/netutil"
 )
 
 const (
@@ -71,7 +72,7 @@
 func serve(t *testing.T, cfg Config, limit int, handler http.HandlerFunc) *pipeListener {
 	pipes := newPipeListener()
 	server := &http.Server{Handler: handler, ConnState: ConnState, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = server.Serve(NewListener(pipes, limit, cfg)) }()
+	go func() { _ = server.Serve(NewListener(netutil.LimitListener(pipes, limit), limit, cfg)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return pipes
 }
@@ -264,6 +265,38 @@
 	})
 }
 
+// Guards against a connection that is closed with its request in progress, and against one that
+// waits for ever once the requests of the others have ended.
+func TestConnectionsWithRequestsDoNotMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cfg, _ := newConfig(1 << 20)
+		const limit, work = 3, 10 * time.Second
+		l := serve(t, cfg, limit, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/long" {
+				time.Sleep(work)
+			}
+		})
+		begun := time.Now()
+		var clients sync.WaitGroup
+		for range limit {
+			clients.Go(func() {
+				conn := l.dial()
+				defer conn.Close()
+				c.Check(exchange(conn, largeHead("/long", 1), 1), qt.DeepEquals, []string{"200 "})
+				time.Sleep(time.Minute)
+			})
+		}
+		time.Sleep(time.Second)
+		conn := l.dial()
+		defer conn.Close()
+		c.Check(exchange(conn, largeHead("/short", 1), 1), qt.DeepEquals, []string{"200 "})
+		took := time.Since(begun)
+		c.Check(took >= work && took <= work+idleWait+time.Second, qt.IsTrue, qt.Commentf("%s", took))
+		clients.Wait()
+	})
+}
+
 // Guards against bytes of another protocol that are lost or examined after an upgrade.
 func TestDetachedConnReturnsWhatItHolds(t *testing.T) {
 	c := qt.New(t)
--- a/headread/listener.go
+++ b/headread/listener.go
@@ -28,8 +28,8 @@
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
-	// crowded is set while no connection could be closed.
-	crowded bool
+	// looking is set while a timer looks for a connection to close.
+	looking bool
 }
 
 // NewListener returns a listener that accepts from l, which accepts at most limit connections at a
@@ -46,44 +46,26 @@
 		return nil, err
 	}
 	c := New(conn, &l.cfg)
-	c.onIdle, c.onClose = l.idle, l.remove
+	c.onClose = l.remove
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
 	return c, nil
 }
 
-// idle is called when a connection waits for its next request.
-func (l *Listener) idle() {
-	l.mu.Lock()
-	crowded := l.crowded
-	l.mu.Unlock()
-	if crowded {
-		l.makeRoom()
-	}
-}
-
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
-	l.crowded = false
 }
 
-// makeRoom closes a connection if there are as many as there may be.
+// lookInterval is the time between two searches for a connection to close, while there is none.
+const lookInterval = 50 * time.Millisecond
+
+// makeRoom closes a connection if there are as many as there may be, now or as soon as one waits
+// for a request.
 func (l *Listener) makeRoom() {
-	l.mu.Lock()
-	if len(l.open) < l.max {
-		l.mu.Unlock()
-		return
-	}
-	conn, served := l.longestWaiting(time.Now())
-	l.crowded = conn == nil
-	if conn == nil {
-		// A connection may have waited too briefly.
-		time.AfterFunc(newWait, l.idle)
-	}
-	l.mu.Unlock()
+	conn, served := l.toClose()
 	switch {
 	case conn == nil:
 	case served:
@@ -93,6 +75,30 @@
 	}
 }
 
+// toClose returns the connection to close, nil if there is none. It is called again later while
+// there should be one.
+func (l *Listener) toClose() (conn *Conn, served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.open) < l.max {
+		return nil, false
+	}
+	conn, served = l.longestWaiting(time.Now())
+	if conn == nil && !l.looking {
+		l.looking = true
+		time.AfterFunc(lookInterval, l.look)
+	}
+	return conn, served
+}
+
+// look makes room once the time for the next search has come.
+func (l *Listener) look() {
+	l.mu.Lock()
+	l.looking = false
+	l.mu.Unlock()
+	l.makeRoom()
+}
+
 // longestWaiting returns the connection to close, nil if there is none. The caller holds l.mu.
 func (l *Listener) longestWaiting(now time.Time) (found *Conn, foundServed bool) {
 	var foundSince time.Time
