--- a/cmd/pollengauge/soak/plan_test.go
+++ b/cmd/pollengauge/soak/plan_test.go
@@ -62,7 +62,7 @@
 
 // inEveryPlan are faults that each plan contains at least once, so that their checkers
 // always have something to judge.
-var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer, restoreStore, leaveByCall}
+var inEveryPlan = []fault{restartUpstream, manyUploads, otherWriter, fatalRequest, limitUpstream, leaveByAnswer, restoreStore, leaveByCall, faultyUpstream}
 
 // step is one fault of a plan.
 type step struct {
@@ -245,7 +245,7 @@
 		pause(ctx, s.lasts)
 		u.work.Store(int64(usualWork))
 	case faultyUpstream:
-		u.odds.Store(&odds{lose: 0.1, truncate: 0.05, extra: 0.05, unframed: 0.05, shed: 0.1})
+		u.odds.Store(&odds{lose: 0.1, truncate: 0.05, extra: 0.05, unframed: 0.05, shed: 0.1, malformed: 0.05, reset: 0.2})
 		pause(ctx, s.lasts)
 		u.odds.Store(&odds{})
 	}
--- a/cmd/pollengauge/soak/respond_test.go
+++ b/cmd/pollengauge/soak/respond_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,6 +33,9 @@
 	case draw < misbehaves.lose+misbehaves.truncate+misbehaves.extra+misbehaves.unframed:
 		i.respondRaw(w, x, "Connection: close\r\n")
 		return
+	case draw < misbehaves.lose+misbehaves.truncate+misbehaves.extra+misbehaves.unframed+misbehaves.malformed:
+		respondMalformed(w, x)
+		return
 	}
 	h.Set("Content-Length", strconv.Itoa(len(x.answer)))
 	w.WriteHeader(x.status)
@@ -63,3 +67,36 @@
 		time.Sleep(lateExtra)
 	}
 }
+
+// foreignSignature is the signature of responses that must not reach a customer.
+const foreignSignature = "malformed"
+
+// malformedHeads are heads, without their last fields, that are none of HTTP/1.1.
+var malformedHeads = []string{
+	"HTTP/1.1 000 X\r\n", "HTTP/1.1 700 X\r\n", "HTTP/2.0 200 X\r\n",
+	"HTTP/1.1 200 X\r\nContent-Length : 3\r\n", "HTTP/1.1 200 X\r\nA B: 1\r\n", "HTTP/1.1 200 X\r\nA\x01: 1\r\n",
+}
+
+// respondMalformed writes a malformed response on the hijacked connection.
+func respondMalformed(w http.ResponseWriter, x run) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "%s%s: %s\r\n%s: %s\r\n\r\n%s", malformedHeads[rand.IntN(len(malformedHeads))], headerID, x.id, headerSignature, foreignSignature, x.answer)
+}
+
+// resetUpload responds to a request whose body it does not read with a part of a response that has
+// no length, and resets the connection.
+func resetUpload(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: %s\r\n\r\npart", headerID, id, headerSignature, foreignSignature)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/cmd/pollengauge/soak/upstream_test.go
+++ b/cmd/pollengauge/soak/upstream_test.go
@@ -37,8 +37,9 @@
 
 // odds are the probabilities of each kind of misbehaviour of an upstream: closing the
 // connection without a response, a truncated body, an extra response, a response without
-// a length, and refusing the request.
-type odds struct{ lose, truncate, extra, unframed, shed float64 }
+// a length, refusing the request, a malformed response, and a part of a response to an upload
+// that is not read, before a reset.
+type odds struct{ lose, truncate, extra, unframed, shed, malformed, reset float64 }
 
 // upstream simulates one server as a sequence of incarnations at one address.
 type upstream struct {
@@ -153,6 +154,10 @@
 }
 
 func (i *incarnation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength >= smallestUpload && rand.Float64() < i.odds.Load().reset {
+		resetUpload(w, r.Header.Get(headerID))
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
