--- a/headread/conn.go
+++ b/headread/conn.go
@@ -145,7 +145,13 @@
 const minHeld = 1 << 10
 
 // hold stores bytes that may not be passed on yet.
-func (c *Conn) hold(b []byte) { c.held = append(make([]byte, 0, max(len(b), minHeld)), b...) }
+func (c *Conn) hold(b []byte) {
+	if !c.setCapacity(max(len(b), minHeld)) {
+		c.refusal = &BusyError{}
+		return
+	}
+	c.held = append(c.held, b...)
+}
 
 // drop drops the bytes that are held.
 func (c *Conn) drop() {
@@ -265,7 +271,7 @@
 
 // readMore reads more of the head that has begun.
 func (c *Conn) readMore() error {
-	if len(c.held) == cap(c.held) && !c.grow() {
+	if len(c.held) == cap(c.held) && !c.setCapacity(2*cap(c.held)) {
 		c.refusal = &BusyError{}
 		return nil
 	}
@@ -279,24 +285,31 @@
 	return err
 }
 
-// grow doubles the room for bytes that are withheld, and reports whether the budget allows it.
-func (c *Conn) grow() bool {
-	size := 2 * cap(c.held)
-	if more := int64(size) - freeHeld - c.reserved; more > 0 {
-		if !c.cfg.Budget.held.TryAcquire(more) {
-			return false
-		}
-		c.mu.Lock()
-		c.reserved += more
-		if c.closed {
-			c.unreserve()
-		}
-		c.mu.Unlock()
+// setCapacity makes room for size bytes that are withheld, and reports whether the budget allows it.
+func (c *Conn) setCapacity(size int) bool {
+	if !c.reserve(int64(size) - freeHeld) {
+		return false
 	}
 	c.held = append(make([]byte, 0, size), c.held...)
 	return true
 }
 
+// reserve takes room in the budget for bytes that are withheld, up to total bytes, and reports
+// whether there is any.
+func (c *Conn) reserve(total int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	more := total - c.reserved
+	if more <= 0 || c.closed {
+		return true
+	}
+	if !c.cfg.Budget.held.TryAcquire(more) {
+		return false
+	}
+	c.reserved += more
+	return true
+}
+
 // unreserve returns the room for bytes that are withheld. The caller holds c.mu.
 func (c *Conn) unreserve() {
 	c.cfg.Budget.held.Release(c.reserved)
