--- a/headread/conn.go
+++ b/headread/conn.go
@@ -51,6 +51,9 @@
 	refusal Refusal
 	refused bool
 
+	// bodyAwaited is since when Read has waited for more of an open body, in nanoseconds of the
+	// Unix epoch, 0 if it does not.
+	bodyAwaited atomic.Int64
 	// hijacked is set once the connection is no longer read as HTTP.
 	hijacked atomic.Bool
 
@@ -100,7 +103,7 @@
 			return 0, c.readErr
 		case len(c.held) == 0:
 			// Most heads arrive in one piece. They are examined where net/http wants them.
-			n, readErr := c.Conn.Read(p)
+			n, readErr := c.readInto(p)
 			if n == 0 {
 				return 0, readErr
 			}
@@ -122,6 +125,16 @@
 	}
 }
 
+// readInto reads what may be passed on at once.
+func (c *Conn) readInto(p []byte) (int, error) {
+	if !c.body.open() {
+		return c.Conn.Read(p)
+	}
+	c.bodyAwaited.Store(time.Now().UnixNano())
+	defer c.bodyAwaited.Store(0)
+	return c.Conn.Read(p)
+}
+
 // noteError stores the error of a read that also returned bytes, unless it is a timeout, after
 // which the connection can be read again.
 func (c *Conn) noteError(err error) {
@@ -540,10 +553,33 @@
 	}
 }
 
-// waiting returns since when the connection has waited for a complete head, and whether it has
-// served a request. It reports false while a request is in progress.
-func (c *Conn) waiting() (since time.Time, served, ok bool) {
+// wait is what a connection waits for.
+type wait uint8
+
+const (
+	// noWait is that of a connection with a whole request in progress.
+	noWait wait = iota
+	// firstHead and nextHead are for a complete head.
+	firstHead
+	nextHead
+	// moreBody is for more of a body.
+	moreBody
+)
+
+// waiting returns what the connection waits for, and since when.
+func (c *Conn) waiting() (wait, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.served, len(c.costs) == 0 && !c.closed && !c.hijacked.Load()
+	switch awaited := c.bodyAwaited.Load(); {
+	case c.closed || c.hijacked.Load():
+		return noWait, time.Time{}
+	case len(c.costs) > 0 && awaited != 0:
+		return moreBody, time.Unix(0, awaited)
+	case len(c.costs) > 0:
+		return noWait, time.Time{}
+	case c.served:
+		return nextHead, c.since
+	default:
+		return firstHead, c.since
+	}
 }
--- a/headread/listener.go
+++ b/headread/listener.go
@@ -6,18 +6,17 @@
 	"time"
 )
 
-// Times for which a connection has to have waited for a request before it is closed in favour of
-// another one.
-const (
-	// newWait is for a connection that has not served a request.
-	newWait = 100 * time.Millisecond
-	// idleWait is for any other.
-	idleWait = time.Second
-)
+// leastWaits are the times for which a connection has to have waited before it is closed in favour
+// of another one, in the order in which connections are closed.
+var leastWaits = [...]struct {
+	wait  wait
+	least time.Duration
+}{{firstHead, 100 * time.Millisecond}, {moreBody, time.Second}, {nextHead, 10 * time.Second}}
 
 // Listener accepts connections whose heads are read under limits. While it has as many
-// connections as it may, it closes those that wait for a request: first those that have never
-// sent one, and of these the one that has waited longest.
+// connections as it may, it closes those that wait for bytes: first those that have never sent a
+// request, then those on which the rest of a body does not come, last those that are kept for the
+// next request, and of these the one that has waited longest.
 //
 // A listener that only stops accepting would let clients that hold idle connections shut out all
 // others.
@@ -63,32 +62,38 @@
 const lookInterval = 50 * time.Millisecond
 
 // makeRoom closes a connection if there are as many as there may be, now or as soon as one waits
-// for a request.
+// for long enough.
 func (l *Listener) makeRoom() {
-	conn, served := l.toClose()
+	conn, waits := l.toClose()
 	switch {
 	case conn == nil:
-	case served:
+	case waits == nextHead:
 		conn.ExpireIdle()
 	default:
 		conn.Reset()
 	}
 }
 
-// toClose returns the connection to close, nil if there is none. It is called again later while
-// there should be one.
-func (l *Listener) toClose() (conn *Conn, served bool) {
+// toClose returns the connection to close, nil if there is none, and what it waits for. It is called
+// again later while there should be one.
+func (l *Listener) toClose() (*Conn, wait) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.open) < l.max {
-		return nil, false
+		return nil, noWait
+	}
+	now := time.Now()
+	longest := l.longestWaiting()
+	for _, next := range leastWaits {
+		if one := longest[next.wait]; one.conn != nil && now.Sub(one.since) >= next.least {
+			return one.conn, next.wait
+		}
 	}
-	conn, served = l.longestWaiting(time.Now())
-	if conn == nil && !l.looking {
+	if !l.looking {
 		l.looking = true
 		time.AfterFunc(lookInterval, l.look)
 	}
-	return conn, served
+	return nil, noWait
 }
 
 // look makes room once the time for the next search has come.
@@ -99,20 +104,21 @@
 	l.makeRoom()
 }
 
-// longestWaiting returns the connection to close, nil if there is none. The caller holds l.mu.
-func (l *Listener) longestWaiting(now time.Time) (found *Conn, foundServed bool) {
-	var foundSince time.Time
+// waitingConn is a connection that waits, and since when.
+type waitingConn struct {
+	conn  *Conn
+	since time.Time
+}
+
+// longestWaiting returns, by what connections wait for, the one that has waited longest. The caller
+// holds l.mu.
+func (l *Listener) longestWaiting() [moreBody + 1]waitingConn {
+	var longest [moreBody + 1]waitingConn
 	for c := range l.open {
-		since, served, waits := c.waiting()
-		least := newWait
-		if served {
-			least = idleWait
-		}
-		switch {
-		case !waits || now.Sub(since) < least:
-		case found == nil, foundServed && !served, foundServed == served && since.Before(foundSince):
-			found, foundServed, foundSince = c, served, since
+		waits, since := c.waiting()
+		if one := &longest[waits]; one.conn == nil || since.Before(one.since) {
+			*one = waitingConn{c, since}
 		}
 	}
-	return found, foundServed
+	return longest
 }
