--- a/cmd/pollengauge/soak/crowd_test.go
+++ b/cmd/pollengauge/soak/crowd_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -421,6 +422,26 @@
 	playCrowd(t, crowd{behaviour: slowly, port: portOutbound, size: 2 * *crowdSize, stays: true})
 }
 
+// Guards against ordinary clients that are shut out by requests whose bodies never come, more than
+// the process may have connections.
+func TestCrowdHoldsRequestsOpen(t *testing.T) {
+	text := func() string { return openHead("POST", pathFile) + "Content-Length: 5\r\n\r\n" }
+	playCrowd(t, crowd{behaviour: silent(text), port: portOutbound, size: 2 * *crowdSize, stays: true})
+}
+
+// Guards against a process that fails by bytes of other protocols.
+func TestCrowdSpeaksOtherProtocols(t *testing.T) {
+	foreign := []string{
+		"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + strings.Repeat("\x00", 500), // a TLS handshake
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + strings.Repeat("\x00\x00\x00\x04\x00\x00\x00\x00\x00", 100),
+		"GET /browse/\r\n", "GET " + pathBrowse + " HTTP/1.0\r\n\r\n", "EHLO x\r\n", strings.Repeat("\n\x00", 1000),
+		"GET " + pathBrowse + " HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n", "GET " + pathBrowse + " HTTP/1.1\r\n Host: x\r\n\r\n",
+	}
+	var next atomic.Int64
+	text := func() string { return foreign[int(next.Add(1))%len(foreign)] }
+	playCrowd(t, crowd{behaviour: silent(text), port: portOutbound, size: *crowdSize})
+}
+
 // Guards against ordinary clients that are shut out by requests of legal size that are sent as fast
 // as the process answers.
 func TestCrowdLeavesRoomForOrdinaryClients(t *testing.T) {
