--- a/cmd/pollengauge/soak/crowd_test.go
+++ b/cmd/pollengauge/soak/crowd_test.go
@@ -337,6 +337,18 @@
 	playCrowd(t, crowd{behaviour: pipelined(func() string { return fullHead("GET", repeatedField) + "\r\n" }), port: portOutbound, size: *crowdSize})
 }
 
+// Guards against a process that fails by heads of legal size whose lines are odd: folded, empty of a
+// name or a value, without a colon, with bytes that no field has.
+func TestCrowdSendsOddFields(t *testing.T) {
+	kinds := []string{" f\r\n", "\t\r\n", "f:\n", ":\r\n", "f\r\n", "f f: 1\r\n", "\x01: 1\r\n", "f: \x00\r\n", "\xff\xfe: 1\r\n", "f: \r\r\n"}
+	var next atomic.Int64
+	text := func() string {
+		kind := kinds[int(next.Add(1))%len(kinds)]
+		return fullHead("GET", func(int) string { return kind }) + "\r\n"
+	}
+	playCrowd(t, crowd{behaviour: pipelined(text), port: portOutbound, size: *crowdSize})
+}
+
 // Guards against the memory of unrepeatable requests of legal size with very many fields, which
 // are not started before their turn.
 func TestCrowdSendsUnsafeHeadsOfManyFields(t *testing.T) {
