--- a/respread/respread_test.go
+++ b/respread/respread_test.go
@@ -101,8 +101,8 @@
 // accepts beside it: line feeds alone, and folded fields behind the first one.
 var (
 	strictStatus = regexp.MustCompile(`^HTTP/1\.[0-9] ([2-5][0-9][0-9])( |$)`)
-	strictField  = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t\\x20-\\x7e\\x{80}-\\x{ff}]*$")
-	strictFold   = regexp.MustCompile("^[ \\t][\\t\\x20-\\x7e\\x{80}-\\x{ff}]*$")
+	strictField  = regexp.MustCompile(`^[!#$%&'*+.^_\x60|~0-9A-Za-z-]+:[\t\x20-\x7e\x{80}-\x{ff}]*$`)
+	strictFold   = regexp.MustCompile(`^[ \t][\t\x20-\x7e\x{80}-\x{ff}]*$`)
 )
 
 // latin1 returns a text with a rune for each byte, as regular expressions need it.
