--- a/cmd/pollengauge/soak/crowd_test.go
+++ b/cmd/pollengauge/soak/crowd_test.go
@@ -307,6 +307,59 @@
 	playCrowd(t, crowd{behaviour: endless(openHead("GET", "/"), shortField), port: strconv.Itoa(portGossip), size: *crowdSize})
 }
 
+// mixed lets each connection behave like the next of the behaviours.
+func mixed(behaviours ...behaviour) behaviour {
+	var next atomic.Int64
+	return func(ctx context.Context, conn net.Conn) error {
+		return behaviours[int(next.Add(1))%len(behaviours)](ctx, conn)
+	}
+}
+
+// strangers behave as clients outside the limits do at outbound, at any other address.
+func strangers() behaviour {
+	empty := func(int) string { return "\r\n" }
+	letters := func(int) string { return "xxxxxxxx" }
+	return mixed(
+		pipelined(func() string { return fullHead("GET", shortField) + "\r\n" }),
+		pipelined(func() string { return fullHead("GET", repeatedField) + "\r\n" }),
+		silent(func() string { return fullHead("GET", shortField) }),
+		silent(func() string { return fullHead("POST", shortField) + "Transfer-Encoding: chunked\r\n\r\n" }),
+		endless("", empty), endless(openHead("GET", pathBrowse)+"\r\n", empty),
+		endless("GET /", letters), endless(openHead("GET", pathBrowse)+"X: ", letters),
+	)
+}
+
+// Guards against a process that fails by empty lines without end, lines without end, or heads of
+// legal size with very many fields, at the address for calls of other nodes.
+func TestCrowdOfStrangersAtInbound(t *testing.T) {
+	playCrowd(t, crowd{behaviour: strangers(), port: portInbound, size: *crowdSize})
+}
+
+// Guards against the same at the address for questions of readiness.
+func TestCrowdOfStrangersAtReady(t *testing.T) {
+	playCrowd(t, crowd{behaviour: strangers(), port: portReady, size: *crowdSize})
+}
+
+// Guards against the same at the address for heartbeats.
+func TestCrowdOfStrangersAtControl(t *testing.T) {
+	playCrowd(t, crowd{behaviour: strangers(), port: portControl, size: *crowdSize})
+}
+
+// Guards against the same at the port of the metrics.
+func TestCrowdOfStrangersAtMetrics(t *testing.T) {
+	playCrowd(t, crowd{behaviour: strangers(), port: portMetrics, size: *crowdSize})
+}
+
+// Guards against the same at the port for operators.
+func TestCrowdOfStrangersAtAdmin(t *testing.T) {
+	playCrowd(t, crowd{behaviour: strangers(), port: portAdmin, size: *crowdSize})
+}
+
+// Guards against the same at the port for membership.
+func TestCrowdOfStrangersAtGossip(t *testing.T) {
+	playCrowd(t, crowd{behaviour: strangers(), port: strconv.Itoa(portGossip), size: *crowdSize})
+}
+
 // Guards against a field line without end that is kept in memory.
 func TestCrowdSendsEndlessFieldLines(t *testing.T) {
 	playCrowd(t, crowd{behaviour: endless(openHead("GET", pathBrowse)+"X: ", func(int) string { return "xxxxxxxx" }), port: portOutbound, size: *crowdSize})
